--- a/setup.sh
+++ b/setup.sh
@@ -6,7 +6,7 @@
     ca-certificates cmake ninja-build ccache g++ pkg-config
     clang clang-format clang-tidy libclang-rt-14-dev curl
     libboost-dev libboost-system-dev libwebsocketpp-dev nlohmann-json3-dev
-    libabsl-dev libgoogle-glog-dev libtclap-dev libinih-dev libcbor-dev
+    libabsl-dev libgoogle-glog-dev libspdlog-dev libtclap-dev libinih-dev libcbor-dev
     prometheus-cpp-dev libpq-dev libsqlite3-dev libssl-dev
     catch2 librapidcheck-dev
 )
--- a/src/admin/configstore.h
+++ b/src/admin/configstore.h
@@ -2,7 +2,7 @@
 
 #include "core/dutythread.h"
 #include "core/types.h"
-#include "platform/configrows.h"
+#include "services/configrows.h"
 #include "settings/processsettings.h"
 
 #include <absl/status/statusor.h>
@@ -16,7 +16,7 @@
 namespace kelptally::admin {
 
 // One accepted version as the platform keeps it; without its document in a history.
-using ConfigRecord = platform::ConfigVersionRow;
+using ConfigRecord = services::ConfigVersionRow;
 
 // How an apply ended. Unavailable: nothing was written; Unknown: it may have been written, ask
 // again with the same change id.
--- a/src/admin/platformconfigstore.cpp
+++ b/src/admin/platformconfigstore.cpp
@@ -1,7 +1,7 @@
 #include "admin/platformconfigstore.h"
 
-#include "platform/configrows.h"
-#include "platform/httpservices.h"
+#include "services/configrows.h"
+#include "services/httpservices.h"
 
 #include <algorithm>
 
@@ -11,7 +11,7 @@
 
 using decision::ApplyState;
 using decision::WriteOutcome;
-using platform::TableRow;
+using services::TableRow;
 
 // Most versions that one history tells.
 constexpr std::size_t maxHistory = 100;
@@ -36,7 +36,7 @@
         return row.status();
     if (!*row)
         return std::optional<ConfigRecord>();
-    auto record = platform::decodeConfigVersionRow((*row)->value);
+    auto record = services::decodeConfigVersionRow((*row)->value);
     if (!record.ok())
         return record.status();
     return *std::move(record);
@@ -49,29 +49,29 @@
         return row.status();
     if (!*row)
         return ConfigVersion(0);
-    const auto newest = platform::decodeNewestConfigRow((*row)->value);
+    const auto newest = services::decodeNewestConfigRow((*row)->value);
     if (!newest.ok())
         return newest.status();
     return newest->version;
 }
 
 // The rows of one accepted version.
-absl::StatusOr<std::vector<platform::ConditionalWrite>>
+absl::StatusOr<std::vector<services::ConditionalWrite>>
 rowsOf(const ConfigRecord &record, const std::optional<std::string> &newestEtag)
 {
     ConfigRecord entry = record;
     entry.document.clear();
-    const auto version = platform::encodeConfigRow(record);
-    const auto history = platform::encodeConfigRow(entry);
+    const auto version = services::encodeConfigRow(record);
+    const auto history = services::encodeConfigRow(entry);
     const auto newest =
-        platform::encodeConfigRow(platform::NewestConfigRow {record.version, record.changeId});
+        services::encodeConfigRow(services::NewestConfigRow {record.version, record.changeId});
     for (const auto *text : {&version, &history, &newest})
         if (!text->ok())
             return text->status();
-    return std::vector<platform::ConditionalWrite> {
-        {platform::configTable, platform::configVersionKey(record.version), *version, {}},
-        {platform::configTable, platform::configHistoryKey(record.version), *history, {}},
-        {platform::configTable, platform::newestConfigKey, *newest, newestEtag},
+    return std::vector<services::ConditionalWrite> {
+        {services::configTable, services::configVersionKey(record.version), *version, {}},
+        {services::configTable, services::configHistoryKey(record.version), *history, {}},
+        {services::configTable, services::newestConfigKey, *newest, newestEtag},
     };
 }
 
@@ -102,8 +102,8 @@
 };
 
 PlatformConfigStore::PlatformConfigStore(TimerService &timers,
-                                         std::unique_ptr<platform::TableService> tables,
-                                         std::unique_ptr<platform::ObjectStore> objects)
+                                         std::unique_ptr<services::TableService> tables,
+                                         std::unique_ptr<services::ObjectStore> objects)
     : timers_(timers), tables_(std::move(tables)), objects_(std::move(objects)),
       random_(std::random_device()()), snapshot_(timers, *objects_)
 { }
@@ -113,7 +113,7 @@
 void PlatformConfigStore::readNewestVersion(ConfigVersionCallback callback)
 {
     tables_->read(
-        platform::configTable, platform::newestConfigKey,
+        services::configTable, services::newestConfigKey,
         [callback = std::move(callback)](auto row) { callback(decodeNewestVersion(row)); });
 }
 
@@ -131,18 +131,18 @@
 
 void PlatformConfigStore::readVersion(ConfigVersion version, ConfigRecordCallback callback)
 {
-    readRecord(platform::configVersionKey(version), std::move(callback));
+    readRecord(services::configVersionKey(version), std::move(callback));
 }
 
 void PlatformConfigStore::readRecord(const std::string &key, ConfigRecordCallback callback)
 {
-    tables_->read(platform::configTable, key,
+    tables_->read(services::configTable, key,
                   [callback = std::move(callback)](auto row) { callback(decodeRecord(row)); });
 }
 
 void PlatformConfigStore::readSnapshot(ConfigRecordCallback callback)
 {
-    objects_->get(platform::configSnapshotKey,
+    objects_->get(services::configSnapshotKey,
                   [callback = std::move(callback)](auto row) { callback(decodeRecord(row)); });
 }
 
@@ -158,7 +158,7 @@
         if (count == 0)
             return history->callback(std::vector<ConfigRecord>());
         for (std::size_t i = 0; i < count; ++i)
-            readRecord(platform::configHistoryKey(*newest - i),
+            readRecord(services::configHistoryKey(*newest - i),
                        [history](const auto &record) { addToHistory(*history, record); });
     });
 }
@@ -220,7 +220,7 @@
 
 void PlatformConfigStore::readNewestFor(const ApplyPtr &apply)
 {
-    tables_->read(platform::configTable, platform::newestConfigKey, [this, apply](auto row) {
+    tables_->read(services::configTable, services::newestConfigKey, [this, apply](auto row) {
         const Instant now = timers_.now();
         const auto newest = decodeNewestVersion(row);
         if (!newest.ok())
@@ -232,7 +232,7 @@
 
 void PlatformConfigStore::readVersionFor(const ApplyPtr &apply, ConfigVersion version)
 {
-    readRecord(platform::configHistoryKey(version), [this, apply](const auto &record) {
+    readRecord(services::configHistoryKey(version), [this, apply](const auto &record) {
         const Instant now = timers_.now();
         if (!record.ok())
             return step(apply, apply->decision.onReadFailed(now));
@@ -276,8 +276,8 @@
 {
     return std::make_unique<PlatformConfigStore>(
         thread.timers(),
-        platform::makeTableService(thread, settings.tableService, settings.storeTimeout),
-        platform::makeObjectStore(thread, settings.objectStore, settings.storeTimeout));
+        services::makeTableService(thread, settings.tableService, settings.storeTimeout),
+        services::makeObjectStore(thread, settings.objectStore, settings.storeTimeout));
 }
 
 } // namespace kelptally::admin
--- a/src/admin/platformconfigstore.h
+++ b/src/admin/platformconfigstore.h
@@ -4,7 +4,7 @@
 #include "admin/snapshotwriter.h"
 #include "core/timerservice.h"
 #include "decision/configapply.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 
 #include <memory>
 #include <random>
@@ -16,8 +16,8 @@
 class PlatformConfigStore : public ConfigStore
 {
 public:
-    PlatformConfigStore(TimerService &timers, std::unique_ptr<platform::TableService> tables,
-                        std::unique_ptr<platform::ObjectStore> objects);
+    PlatformConfigStore(TimerService &timers, std::unique_ptr<services::TableService> tables,
+                        std::unique_ptr<services::ObjectStore> objects);
     ~PlatformConfigStore() override;
 
     void readNewestVersion(ConfigVersionCallback callback) override;
@@ -46,8 +46,8 @@
     void finish(const ApplyPtr &apply);
 
     TimerService &timers_;
-    const std::unique_ptr<platform::TableService> tables_;
-    const std::unique_ptr<platform::ObjectStore> objects_;
+    const std::unique_ptr<services::TableService> tables_;
+    const std::unique_ptr<services::ObjectStore> objects_;
     std::mt19937_64 random_;
     SnapshotWriter snapshot_;
     // Gone with the store, so that late timers and answers are dropped.
--- a/src/admin/snapshotwriter.cpp
+++ b/src/admin/snapshotwriter.cpp
@@ -4,13 +4,13 @@
 
 namespace kelptally::admin {
 
-SnapshotWriter::SnapshotWriter(TimerService &timers, platform::ObjectStore &objects)
+SnapshotWriter::SnapshotWriter(TimerService &timers, services::ObjectStore &objects)
     : timers_(timers), objects_(objects)
 { }
 
 SnapshotWriter::~SnapshotWriter() = default;
 
-void SnapshotWriter::update(platform::ConfigVersionRow row)
+void SnapshotWriter::update(services::ConfigVersionRow row)
 {
     if (wanted_ && wanted_->version >= row.version)
         return;
@@ -23,27 +23,27 @@
 {
     busy_ = true;
     const std::weak_ptr<bool> alive = alive_;
-    objects_.get(platform::configSnapshotKey,
-                 [this, alive](absl::StatusOr<std::optional<platform::TableRow>> read) {
+    objects_.get(services::configSnapshotKey,
+                 [this, alive](absl::StatusOr<std::optional<services::TableRow>> read) {
                      if (!alive.expired())
                          onRead(read);
                  });
 }
 
-void SnapshotWriter::onRead(const absl::StatusOr<std::optional<platform::TableRow>> &read)
+void SnapshotWriter::onRead(const absl::StatusOr<std::optional<services::TableRow>> &read)
 {
     if (!read.ok())
         return retry();
-    platform::ConditionalWrite write;
-    write.key = platform::configSnapshotKey;
+    services::ConditionalWrite write;
+    write.key = services::configSnapshotKey;
     if (*read) {
         // A snapshot that can't be read is of no use to anybody and is written over.
-        const auto current = platform::decodeConfigVersionRow((*read)->value);
+        const auto current = services::decodeConfigVersionRow((*read)->value);
         if (current.ok() && current->version >= wanted_->version)
             return done();
         write.expectedEtag = (*read)->etag;
     }
-    const auto text = platform::encodeConfigRow(*wanted_);
+    const auto text = services::encodeConfigRow(*wanted_);
     if (!text.ok())
         return done();
     write.value = *text;
--- a/src/admin/snapshotwriter.h
+++ b/src/admin/snapshotwriter.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/timerservice.h"
-#include "platform/configrows.h"
-#include "platform/tableservice.h"
+#include "services/configrows.h"
+#include "services/tableservice.h"
 
 #include <memory>
 #include <optional>
@@ -14,12 +14,12 @@
 class SnapshotWriter
 {
 public:
-    SnapshotWriter(TimerService &timers, platform::ObjectStore &objects);
+    SnapshotWriter(TimerService &timers, services::ObjectStore &objects);
     ~SnapshotWriter();
     SnapshotWriter(const SnapshotWriter &) = delete;
     SnapshotWriter &operator=(const SnapshotWriter &) = delete;
 
-    void update(platform::ConfigVersionRow row);
+    void update(services::ConfigVersionRow row);
 
     // Whether nothing is left to write.
     bool idle() const { return !wanted_; }
@@ -28,14 +28,14 @@
 
 private:
     void read();
-    void onRead(const absl::StatusOr<std::optional<platform::TableRow>> &read);
+    void onRead(const absl::StatusOr<std::optional<services::TableRow>> &read);
     void onWritten(ConfigVersion version, const absl::Status &status);
     void retry();
     void done();
 
     TimerService &timers_;
-    platform::ObjectStore &objects_;
-    std::optional<platform::ConfigVersionRow> wanted_;
+    services::ObjectStore &objects_;
+    std::optional<services::ConfigVersionRow> wanted_;
     bool busy_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/core/logging.cpp
+++ b/src/core/logging.cpp
@@ -25,6 +25,14 @@
     google::InitGoogleLogging(program);
 }
 
+void startLibraryLogging(const char *program)
+{
+    for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+        google::SetLogDestination(severity, "");
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    google::InitGoogleLogging(program);
+}
+
 std::string logValue(std::string_view value)
 {
     if (!value.empty() && std::all_of(value.begin(), value.end(), isPlain))
--- /dev/null
+++ b/src/decision/positionlog.cpp
@@ -0,0 +1,66 @@
+#include "decision/positionlog.h"
+
+#include <algorithm>
+
+namespace kelptally::decision {
+
+namespace {
+
+// Samples closer together than this tell a read nothing new: 1% of the shortest stated age in use.
+constexpr Duration spacing = std::chrono::milliseconds(15);
+// Longer than any stated age that is served by replicas.
+constexpr Duration keepFor = std::chrono::seconds(10);
+
+} // namespace
+
+void PositionLog::add(Instant sent, Position position)
+{
+    if (!samples_.empty()) {
+        Sample &last = samples_.back();
+        if (position < last.position)
+            return;
+        // An earlier question that was answered later with more: its position also holds what the
+        // later question's does.
+        if (sent <= last.sent) {
+            last.position = position;
+            return;
+        }
+        const bool thin =
+            samples_.size() >= 2 && sent - samples_[samples_.size() - 2].sent < spacing;
+        if (thin) {
+            last = {sent, position};
+            return;
+        }
+    }
+    samples_.push_back({sent, position});
+    while (samples_.size() > 2 && sent - samples_.front().sent > keepFor)
+        samples_.pop_front();
+}
+
+std::optional<Position> PositionLog::holdsAllUntil(Instant instant) const
+{
+    const auto found = std::lower_bound(samples_.begin(), samples_.end(), instant,
+                                        [](const Sample &s, Instant at) { return s.sent < at; });
+    if (found == samples_.end())
+        return std::nullopt;
+    return found->position;
+}
+
+std::optional<Position> PositionLog::newest() const
+{
+    if (samples_.empty())
+        return std::nullopt;
+    return samples_.back().position;
+}
+
+std::optional<Instant> PositionLog::firstSeen(Position position) const
+{
+    const auto found =
+        std::lower_bound(samples_.begin(), samples_.end(), position,
+                         [](const Sample &s, Position wanted) { return s.position < wanted; });
+    if (found == samples_.end())
+        return std::nullopt;
+    return found->sent;
+}
+
+} // namespace kelptally::decision
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -2,8 +2,8 @@
 
 #include "caller/problem.h"
 #include "inner/websocketlinks.h"
-#include "platform/httpservices.h"
-#include "platform/ownershiprow.h"
+#include "services/httpservices.h"
+#include "services/ownershiprow.h"
 
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
@@ -36,16 +36,16 @@
 class EntryProcess::TableRows : public OwnerRows
 {
 public:
-    explicit TableRows(platform::TableService &table) : table_(table) { }
+    explicit TableRows(services::TableService &table) : table_(table) { }
 
     void read(const GroupName &group, Callback callback) override
     {
-        table_.read(platform::ownershipTable, group, [callback = std::move(callback)](auto read) {
+        table_.read(services::ownershipTable, group, [callback = std::move(callback)](auto read) {
             if (!read.ok())
                 return callback(read.status());
             if (!*read)
                 return callback(std::optional<decision::OwnershipRow>());
-            auto row = platform::decodeOwnershipRow((*read)->value);
+            auto row = services::decodeOwnershipRow((*read)->value);
             if (!row.ok())
                 return callback(row.status());
             callback(std::optional<decision::OwnershipRow>(*std::move(row)));
@@ -53,7 +53,7 @@
     }
 
 private:
-    platform::TableService &table_;
+    services::TableService &table_;
 };
 
 EntryProcess::EntryProcess(const settings::ProcessSettings &settings, Metrics &metrics)
@@ -86,7 +86,7 @@
         return links.status();
     links_ = *std::move(links);
     peers.setLinks(links_.get());
-    table_ = platform::makeTableService(requests_, settings_.tableService, settings_.storeTimeout);
+    table_ = services::makeTableService(requests_, settings_.tableService, settings_.storeTimeout);
     rows_ = std::make_unique<TableRows>(*table_);
     ownerLinks_ = std::make_unique<OwnerLinks>(*links_);
     directory_ = std::make_unique<OwnerDirectory>(requests_.timers(), *rows_, *ownerLinks_);
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -6,7 +6,7 @@
 #include "entry/callerapi.h"
 #include "entry/dispatcher.h"
 #include "entry/requestinbox.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 #include "settings/processsettings.h"
 
 #include <atomic>
@@ -59,7 +59,7 @@
     admin::AdminPeers *adminPeers_ = nullptr;
     std::unique_ptr<inner::PeerLinks> links_;
     // Used and destroyed on the requests thread, or while it does not run.
-    std::unique_ptr<platform::TableService> table_;
+    std::unique_ptr<services::TableService> table_;
     std::unique_ptr<OwnerRows> rows_;
     std::unique_ptr<OwnerLinks> ownerLinks_;
     std::unique_ptr<OwnerDirectory> directory_;
--- /dev/null
+++ b/src/group/grouphost.cpp
@@ -0,0 +1,201 @@
+#include "group/grouphost.h"
+
+namespace kelptally::group {
+
+namespace {
+
+// After another process has taken the group, open transactions get this long to end here.
+constexpr Duration lastStatements = std::chrono::milliseconds(1500);
+constexpr Duration quietPeriod = std::chrono::milliseconds(100);
+
+} // namespace
+
+GroupHost::GroupHost(const Parts &parts)
+    : parts_(parts),
+      ownership_({parts.timers, parts.table, parts.feed, parts.links, parts.log, parts.self,
+                  parts.zone,
+                  [this](const std::string &address, std::function<void(bool)> callback) {
+                      constexpr Duration timeout = std::chrono::milliseconds(150);
+                      parts_.probe(address, timeout, [callback](ProbeOutcome outcome) {
+                          callback(outcome == ProbeOutcome::Refused);
+                      });
+                  },
+                  [this](const GroupName &group) {
+                      const auto found = servers_.find(group);
+                      if (found != servers_.end())
+                          for (const ListedServer &server : found->second)
+                              if (server.primary)
+                                  return server.zone;
+                      return ZoneName();
+                  }},
+                 *this)
+{ }
+
+GroupHost::Held &GroupHost::held(const GroupName &group)
+{
+    Held &held = groups_[group];
+    if (held.runner)
+        return held;
+    held.runner = std::make_unique<GroupRunner>(
+        GroupRunner::Parts {parts_.timers, parts_.connector, ownership_, parts_.promotions,
+                            parts_.log, parts_.metrics, parts_.probe, parts_.zone},
+        group);
+    const auto options = options_.find(group);
+    if (options != options_.end())
+        held.runner->setOptions(options->second);
+    held.runner->setServers(servers_[group]);
+    return held;
+}
+
+GroupRunner *GroupHost::find(const GroupName &group) const
+{
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? nullptr : found->second.runner.get();
+}
+
+void GroupHost::setServers(const GroupName &group, const std::vector<ListedServer> &servers)
+{
+    servers_[group] = servers;
+    if (GroupRunner *runner = find(group))
+        runner->setServers(servers);
+}
+
+void GroupHost::setOptions(const std::map<GroupName, session::GroupOptions> &options)
+{
+    options_ = options;
+    for (const auto &[group, held] : groups_) {
+        const auto found = options_.find(group);
+        if (found != options_.end())
+            held.runner->setOptions(found->second);
+    }
+}
+
+void GroupHost::run(inner::LinkId origin, inner::RunStatement statement,
+                    session::DoneCallback callback)
+{
+    GroupRunner *runner = find(statement.group);
+    if (runner != nullptr)
+        return runner->run(origin, std::move(statement), std::move(callback));
+    inner::StatementDone done;
+    done.requestId = statement.requestId;
+    done.reason = Reason::NotOwner;
+    if (const OwnershipRecord *record = ownership_.record(statement.group))
+        done.ownerEpoch = record->epoch;
+    callback(std::move(done));
+}
+
+void GroupHost::endTransaction(inner::LinkId origin, const GroupName &group, std::uint64_t session)
+{
+    if (GroupRunner *runner = find(group))
+        runner->endTransaction(origin, session);
+}
+
+void GroupHost::onOwnerChanged(const GroupName &group)
+{
+    parts_.onOwnerChanged(group);
+}
+
+void GroupHost::onAcquired(const GroupName &group)
+{
+    Held &mine = held(group);
+    mine.handingOver = false;
+    mine.runner->onAcquired();
+}
+
+void GroupHost::onLost(const GroupName &group)
+{
+    Held &mine = held(group);
+    mine.lostAt = parts_.timers.now();
+    mine.runner->onLost();
+    closeWhenQuiet(group);
+}
+
+// The next owner needs the connections.
+void GroupHost::closeWhenQuiet(const GroupName &group)
+{
+    Held &mine = held(group);
+    if (ownership_.owns(group))
+        return;
+    if (mine.runner->isQuiet())
+        return mine.runner->closeAll();
+    parts_.timers.subscribeAfter(quietPeriod, [this, group] { closeWhenQuiet(group); });
+}
+
+void GroupHost::onStatement(inner::LinkId link, inner::RunStatement statement)
+{
+    run(link, std::move(statement), [this, link](inner::StatementDone done) {
+        static_cast<void>(parts_.links.sendOn(link, std::move(done)));
+    });
+}
+
+// Answered once it is true.
+void GroupHost::onEndRequest(inner::LinkId link, const inner::OwnershipEndRequest &request)
+{
+    const OwnershipRecord *record = ownership_.record(request.group);
+    if (record != nullptr && record->epoch <= request.epoch)
+        ownership_.refreshOwner(request.group);
+    if (ownership_.owns(request.group) || (record != nullptr && record->epoch <= request.epoch))
+        return;
+    const auto found = groups_.find(request.group);
+    if (found != groups_.end() && !found->second.runner->isQuiet()) {
+        if (parts_.timers.now() - found->second.lostAt < lastStatements)
+            return;
+        found->second.runner->closeAll();
+    }
+    static_cast<void>(
+        parts_.links.sendOn(link, inner::OwnershipEnded {request.group, request.epoch}));
+}
+
+void GroupHost::onPeerDown(inner::LinkId link)
+{
+    for (const auto &[group, held] : groups_)
+        held.runner->onOriginGone(link);
+}
+
+void GroupHost::handOverAll(const std::map<std::string, inner::Hello> &peers)
+{
+    ownership_.stopClaiming();
+    for (const GroupName &group : ownership_.owned()) {
+        Held &mine = held(group);
+        if (mine.handingOver || peers.empty())
+            continue;
+        // In the primary's zone if possible, else spread by name.
+        const ZoneName zone = mine.runner->primaryZone();
+        auto chosen = peers.begin();
+        std::advance(chosen, std::hash<std::string>()(group) % peers.size());
+        for (auto peer = peers.begin(); peer != peers.end(); ++peer)
+            if (peer->second.zone == zone && chosen->second.zone != zone)
+                chosen = peer;
+        mine.handingOver = true;
+        parts_.log.info("hand_over").with("group", group).with("to", chosen->first);
+        ownership_.handOver(group, chosen->second.process,
+                            [this, group](const absl::Status &status) {
+                                if (status.ok())
+                                    return;
+                                held(group).handingOver = false;
+                                parts_.log.warning("hand_over_failed")
+                                    .with("group", group)
+                                    .with("cause", status.message());
+                            });
+    }
+}
+
+bool GroupHost::isQuiet() const
+{
+    if (!ownership_.owned().empty())
+        return false;
+    for (const auto &[group, held] : groups_)
+        if (!held.runner->isQuiet())
+            return false;
+    return true;
+}
+
+std::size_t GroupHost::queued() const
+{
+    std::size_t count = 0;
+    for (const auto &[group, held] : groups_)
+        count += held.runner->queued();
+    return count;
+}
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/grouphost.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "group/grouprunner.h"
+
+#include <map>
+#include <memory>
+
+namespace kelptally::group {
+
+// The groups that this process looks after: one runner for each group that it owns or has owned.
+class GroupHost : public session::StatementExecutor, public OwnershipEvents
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        inner::PeerLinks &links;
+        services::TableService &table;
+        services::TableFeed &feed;
+        ServerConnector &connector;
+        PromotionService &promotions;
+        EventLog &log;
+        Metrics &metrics;
+        PrimaryKeeper::Prober probe;
+        ProcessId self;
+        ZoneName zone;
+        // Another owner is known; the router places what waits.
+        std::function<void(const GroupName &)> onOwnerChanged;
+    };
+
+    explicit GroupHost(const Parts &parts);
+
+    void start() { ownership_.start(); }
+    OwnershipTable &ownership() { return ownership_; }
+
+    void setServers(const GroupName &group, const std::vector<ListedServer> &servers);
+    void setOptions(const std::map<GroupName, session::GroupOptions> &options);
+
+    void run(inner::LinkId origin, inner::RunStatement statement,
+             session::DoneCallback callback) override;
+    void endTransaction(inner::LinkId origin, const GroupName &group,
+                        std::uint64_t session) override;
+
+    void onOwnerChanged(const GroupName &group) override;
+    void onAcquired(const GroupName &group) override;
+    void onLost(const GroupName &group) override;
+
+    // From peers.
+    void onStatement(inner::LinkId link, inner::RunStatement statement);
+    void onEndRequest(inner::LinkId link, const inner::OwnershipEndRequest &request);
+    void onPeerDown(inner::LinkId link);
+
+    // Gives every owned group to one of the peers, if any is known; called until none is left.
+    void handOverAll(const std::map<std::string, inner::Hello> &peers);
+    // Nothing is owned and nothing runs.
+    bool isQuiet() const;
+
+    std::size_t queued() const;
+
+private:
+    struct Held
+    {
+        std::unique_ptr<GroupRunner> runner;
+        Instant lostAt {};
+        bool handingOver = false;
+    };
+
+    Held &held(const GroupName &group);
+    GroupRunner *find(const GroupName &group) const;
+    void closeWhenQuiet(const GroupName &group);
+
+    const Parts parts_;
+    OwnershipTable ownership_;
+    std::map<GroupName, std::vector<ListedServer>> servers_;
+    std::map<GroupName, session::GroupOptions> options_;
+    std::map<GroupName, Held> groups_;
+};
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/grouprunner.cpp
@@ -0,0 +1,876 @@
+#include "group/grouprunner.h"
+
+#include <algorithm>
+
+namespace kelptally::group {
+
+namespace {
+
+// Statements that wait in one group. Chosen, not measured: some seconds of a small group's work.
+constexpr std::size_t maxQueued = 512;
+// A read that met so many failing servers is refused.
+constexpr int maxAttempts = 8;
+// Pauses before the same statement is tried again after a server refused it as busy or behind.
+constexpr Duration busyPause = std::chrono::milliseconds(8);
+constexpr Duration behindPause = std::chrono::milliseconds(10);
+constexpr Duration readOnlyPause = std::chrono::milliseconds(20);
+// What a caller is told to wait when a group has no primary, or is full.
+constexpr Duration primaryHint = std::chrono::milliseconds(400);
+constexpr Duration fullHint = std::chrono::milliseconds(100);
+// A replica is guessed to hold a position this long after the primary showed it, on top of twice
+// its lag.
+constexpr Duration guessMargin = std::chrono::milliseconds(5);
+// A read whose server says nothing at all for this long runs again elsewhere.
+constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
+
+bool isRead(const inner::RunStatement &statement)
+{
+    return statement.verb == inner::SessionVerb::Read;
+}
+
+bool continuesTransaction(const inner::RunStatement &statement)
+{
+    return statement.inTransaction && statement.begins == inner::TransactionMode::None;
+}
+
+// Whether nothing but reading is asked, so that any server may do it.
+bool mayReadAnywhere(const inner::RunStatement &statement)
+{
+    if (statement.begins == inner::TransactionMode::ReadOnly)
+        return true;
+    return !statement.inTransaction && isRead(statement);
+}
+
+} // namespace
+
+GroupRunner::GroupRunner(const Parts &parts, const GroupName &group)
+    : parts_(parts), group_(group), keeper_({parts.timers, parts.ownership, parts.promotions,
+                                             parts.log, parts.metrics, parts.probe},
+                                            group, servers_, *this)
+{ }
+
+GroupRunner::~GroupRunner()
+{
+    *alive_ = false;
+}
+
+GroupServer *GroupRunner::find(const ServerName &id)
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : found->second.get();
+}
+
+// Servers and ownership
+
+void GroupRunner::setServers(const std::vector<ListedServer> &servers)
+{
+    std::set<ServerName> listed;
+    for (const ListedServer &server : servers) {
+        listed.insert(server.id);
+        auto &known = servers_[server.id];
+        if (known) {
+            known->update(server);
+            continue;
+        }
+        const GroupServer::Parts parts {
+            parts_.timers, parts_.connector, parts_.log, [this] { pumpSoon(); },
+            [this](const ServerName &id, ConnectOutcome outcome) { onTrouble(id, outcome); }};
+        known = std::make_unique<GroupServer>(parts, server);
+        known->setMaxConnections(options_.maxConnections);
+        if (active_)
+            known->warmUp();
+    }
+    std::vector<ServerName> gone;
+    for (const auto &[id, server] : servers_)
+        if (listed.count(id) == 0)
+            gone.push_back(id);
+    for (const ServerName &id : gone) {
+        dropServer(id);
+        servers_.erase(id);
+    }
+    keeper_.onServersChanged();
+    pumpSoon();
+}
+
+void GroupRunner::setOptions(const session::GroupOptions &options)
+{
+    options_ = options;
+    for (const auto &[id, server] : servers_)
+        server->setMaxConnections(options.maxConnections);
+}
+
+void GroupRunner::onAcquired()
+{
+    active_ = true;
+    positions_.clear();
+    for (const auto &[id, server] : servers_)
+        server->warmUp();
+    keeper_.start();
+}
+
+void GroupRunner::onLost()
+{
+    active_ = false;
+    keeper_.stop();
+    // Whatever waits has not run, and the next owner takes it.
+    const std::list<JobPtr> queue = std::move(queue_);
+    queue_.clear();
+    for (const JobPtr &job : queue)
+        refuse(job, Reason::NotOwner, Executed::No, "the group has another owner");
+}
+
+bool GroupRunner::isQuiet() const
+{
+    return !active_ && running_.empty() && transactions_.empty();
+}
+
+void GroupRunner::closeAll()
+{
+    for (const auto &[id, server] : servers_)
+        dropServer(id);
+    // Statements that ran end as lost with their connections; the rest of a transaction has none.
+    transactions_.clear();
+}
+
+ZoneName GroupRunner::primaryZone() const
+{
+    const auto found = servers_.find(keeper_.primary());
+    return found == servers_.end() ? ZoneName() : found->second->listed().zone;
+}
+
+void GroupRunner::onTrouble(const ServerName &server, ConnectOutcome outcome)
+{
+    keeper_.onTrouble(server, outcome);
+    pumpSoon();
+}
+
+void GroupRunner::onPrimary(const ServerName &server)
+{
+    // Positions of the old primary may hold what the new one does not have.
+    positions_.clear();
+    if (GroupServer *primary = find(server))
+        primary->warmUp();
+    pumpSoon();
+}
+
+void GroupRunner::onPrimaryLost(const ServerName &server)
+{
+    dropServer(server);
+}
+
+void GroupRunner::onWritesHeld(bool held)
+{
+    writesHeld_ = held;
+    pumpSoon();
+}
+
+// Ends everything that runs at the server.
+void GroupRunner::dropServer(const ServerName &id)
+{
+    std::vector<Origin> ended;
+    for (const auto &[origin, transaction] : transactions_)
+        if (transaction.server == id && !transaction.job)
+            ended.push_back(origin);
+    for (const Origin &origin : ended)
+        forgetTransaction(origin, true);
+    if (GroupServer *server = find(id))
+        server->closeAll();
+}
+
+// Taking statements
+
+void GroupRunner::run(inner::LinkId origin, inner::RunStatement statement,
+                      session::DoneCallback callback)
+{
+    const Instant now = parts_.timers.now();
+    auto job = std::make_shared<Job>();
+    job->statement = std::move(statement);
+    job->origin = {origin, job->statement.session};
+    job->callback = std::move(callback);
+    job->arrived = now;
+    job->deadline = now + job->statement.timeLeft;
+    job->due = now + job->statement.objective;
+    for (std::size_t i = 0; i + 1 < job->statement.values.size(); i += 2)
+        job->values[job->statement.values[i]] = job->statement.values[i + 1];
+    if (continuesTransaction(job->statement)) {
+        const auto open = transactions_.find(job->origin);
+        if (open == transactions_.end() || open->second.job)
+            return refuse(job, Reason::TransactionEnded, Executed::No,
+                          "the transaction's connection was lost");
+        open->second.job = job;
+    } else if (!active_) {
+        return refuse(job, Reason::NotOwner, Executed::No, "the group has another owner");
+    }
+    if (queue_.size() >= maxQueued && !continuesTransaction(job->statement))
+        return refuse(job, Reason::QueueFull, Executed::No, "the queue of the group is full",
+                      retryHint());
+    job->timer = parts_.timers.subscribeAt(job->deadline, [this, alive = alive_, job] {
+        if (*alive)
+            onDeadline(job);
+    });
+    enqueue(job);
+    pump();
+}
+
+void GroupRunner::enqueue(const JobPtr &job)
+{
+    const auto rank = [](const JobPtr &j) {
+        return std::make_tuple(continuesTransaction(j->statement) ? 0 : 1, j->statement.priority,
+                               j->due);
+    };
+    const auto place = std::find_if(queue_.rbegin(), queue_.rend(), [&](const JobPtr &other) {
+                           return rank(other) <= rank(job);
+                       }).base();
+    queue_.insert(place, job);
+}
+
+void GroupRunner::pumpSoon()
+{
+    if (pumping_)
+        return;
+    pumping_ = true;
+    parts_.timers.subscribeAt(parts_.timers.now(), [this, alive = alive_] {
+        if (!*alive)
+            return;
+        pumping_ = false;
+        pump();
+    });
+}
+
+// Starts whatever can start, best rank first.
+void GroupRunner::pump()
+{
+    const Instant now = parts_.timers.now();
+    std::optional<Instant> later;
+    for (auto at = queue_.begin(); at != queue_.end();) {
+        const JobPtr job = *at;
+        if (job->notBefore > now) {
+            later = later ? std::min(*later, job->notBefore) : job->notBefore;
+            ++at;
+            continue;
+        }
+        // Starting one may end others, but never removes from the queue before it returns.
+        if (tryStart(job, now))
+            at = queue_.erase(at);
+        else
+            ++at;
+    }
+    // What waits for a connection, a lag or a lease has no event of its own.
+    if (queue_.empty() || pumping_)
+        return;
+    pumping_ = true;
+    const Instant next = later ? std::min(*later, now + pumpPeriod) : now + pumpPeriod;
+    parts_.timers.subscribeAt(next, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        pumping_ = false;
+        pump();
+    });
+}
+
+bool GroupRunner::tryStart(const JobPtr &job, Instant now)
+{
+    // 1. Nothing is sent without the lease: the primary may have been replaced.
+    if (!parts_.ownership.leaseHolds(group_))
+        return false;
+    // 2. A transaction that is open stays on its connection.
+    if (continuesTransaction(job->statement)) {
+        const auto open = transactions_.find(job->origin);
+        if (open == transactions_.end()) {
+            parts_.timers.subscribeAt(now, [this, alive = alive_, job] {
+                if (*alive)
+                    refuse(job, Reason::TransactionEnded, Executed::No,
+                           "the transaction's connection was lost");
+            });
+            return true;
+        }
+        return startInTransaction(job, open->second);
+    }
+    // 3. A server that may run it, with a free slot, and a connection.
+    GroupServer *server = chooseServer(job, now);
+    if (server == nullptr)
+        return false;
+    const PooledConnectionPtr connection = server->take(job->values);
+    if (!connection)
+        return false;
+    start(job, *server, connection);
+    return true;
+}
+
+bool GroupRunner::startInTransaction(const JobPtr &job, Transaction &transaction)
+{
+    GroupServer *server = find(transaction.server);
+    if (server != nullptr && !server->hasSlot())
+        return false;
+    if (server == nullptr || !transaction.connection->connection->isOpen()) {
+        forgetTransaction(job->origin, true);
+        parts_.timers.subscribeAt(parts_.timers.now(), [this, alive = alive_, job] {
+            if (*alive)
+                refuse(job, Reason::TransactionEnded, Executed::No,
+                       "the transaction's connection was lost");
+        });
+        return true;
+    }
+    start(job, *server, transaction.connection);
+    return true;
+}
+
+// Choosing a server
+
+GroupServer *GroupRunner::chooseServer(const JobPtr &job, Instant now)
+{
+    const bool newest = job->statement.rule == inner::ReadRule::Newest;
+    if (mayReadAnywhere(job->statement) && !newest)
+        return chooseReader(job, now);
+    const bool writes = !mayReadAnywhere(job->statement);
+    if (writes && writesHeld_)
+        return nullptr;
+    GroupServer *primary = find(keeper_.primary());
+    if (primary == nullptr || !primary->hasSlot() || now < primary->busyUntil)
+        return nullptr;
+    return primary;
+}
+
+// Any server whose log surely or probably holds the position; replicas go before the primary, which
+// alone can write.
+GroupServer *GroupRunner::chooseReader(const JobPtr &job, Instant now)
+{
+    const std::optional<Position> needed = positionNeeded(job, now);
+    job->needs = needed;
+    GroupServer *best = nullptr;
+    int bestCost = 0;
+    for (const auto &[id, server] : servers_) {
+        const bool isPrimary = id == keeper_.primary();
+        if (!server->hasSlot() || now < server->busyUntil || server->isUnreachable())
+            continue;
+        if (!isPrimary && (!needed || !mayHold(*server, *needed, now)))
+            continue;
+        if (isPrimary && writesHeld_)
+            continue;
+        const bool farAway = server->listed().zone != parts_.zone;
+        const int cost = 100 * server->inFlight() / std::max(1, server->slots())
+            + (isPrimary ? 90 : 0) + (farAway ? 10 : 0) + (job->avoid.count(id) != 0 ? 400 : 0)
+            + (server->listed().leaving ? 1000 : 0);
+        if (best != nullptr && cost >= bestCost)
+            continue;
+        best = server.get();
+        bestCost = cost;
+    }
+    return best;
+}
+
+bool GroupRunner::mayHold(const GroupServer &server, Position needed, Instant now) const
+{
+    if (server.shown && needed <= *server.shown)
+        return true;
+    if (now < server.behindUntil)
+        return false;
+    const auto seen = positions_.firstSeen(needed);
+    return seen && now - *seen >= 2 * server.lag + guessMargin;
+}
+
+// The position that makes a read right; nothing when only the primary is known to.
+std::optional<Position> GroupRunner::positionNeeded(const JobPtr &job, Instant now)
+{
+    std::optional<Position> needed;
+    switch (job->statement.rule) {
+    case inner::ReadRule::Newest:
+        return positions_.newest();
+    case inner::ReadRule::Bounded:
+    case inner::ReadRule::OwnWrites:
+        needed = positions_.holdsAllUntil(std::min(job->arrived, now) - job->statement.maxAge);
+        break;
+    }
+    const auto &own = job->statement.sessionPosition;
+    if (needed && job->statement.rule == inner::ReadRule::OwnWrites && own && *needed < *own)
+        needed = own;
+    return needed;
+}
+
+// Running
+
+void GroupRunner::start(const JobPtr &job, GroupServer &server,
+                        const PooledConnectionPtr &connection)
+{
+    job->server = server.id();
+    job->connection = connection;
+    job->sentAt = parts_.timers.now();
+    job->running = true;
+    ++job->attempts;
+    server.sent();
+    server.beginWork();
+    running_.insert(job);
+    parts_.log.line(LogLevel::Debug, "statement_sent")
+        .with("id", job->statement.statementId)
+        .with("group", group_)
+        .with("server", server.id())
+        .with("needs", job->needs ? positionText(*job->needs) : std::string("-"))
+        .with("shown", server.shown ? positionText(*server.shown) : std::string("-"))
+        .with("waited_ms", job->sentAt - job->arrived);
+    if (job->statement.begins != inner::TransactionMode::None)
+        sendBegin(job);
+    else
+        sendStatement(job);
+}
+
+// Brings the connection into the session's state: values exactly, prepared statements as needed.
+std::vector<ServerCommand> GroupRunner::prepare(const JobPtr &job, bool inTransaction)
+{
+    PooledConnection &connection = *job->connection;
+    std::vector<ServerCommand> batch;
+    // 1. A value can be changed but not removed, except by a reset of everything.
+    bool stray = false;
+    for (const auto &[name, value] : connection.values)
+        stray = stray || job->values.count(name) == 0;
+    if (stray && !inTransaction) {
+        ServerCommand reset;
+        reset.kind = CommandKind::Reset;
+        batch.push_back(reset);
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto &[name, value] : job->values) {
+        const auto held = connection.values.find(name);
+        if (held != connection.values.end() && held->second == value)
+            continue;
+        ServerCommand set;
+        set.kind = CommandKind::SetValue;
+        set.name = name;
+        set.argument = value;
+        batch.push_back(set);
+        connection.values[name] = value;
+    }
+    // 2. Prepared statements are shared between sessions by kind and shape.
+    if (job->statement.preparedShape.empty())
+        return batch;
+    const std::string key = (isRead(job->statement) ? "r" : "w") + job->statement.preparedShape;
+    if (connection.prepared.count(key) == 0) {
+        connection.prepared[key] = ++connection.lastPrepared;
+        ServerCommand prepare;
+        prepare.kind = CommandKind::Prepare;
+        prepare.name = "p" + std::to_string(connection.lastPrepared);
+        prepare.argument = job->statement.preparedShape;
+        prepare.writes = !isRead(job->statement);
+        batch.push_back(prepare);
+    }
+    return batch;
+}
+
+ServerCommand GroupRunner::command(const JobPtr &job, bool after) const
+{
+    ServerCommand command;
+    command.id = job->statement.statementId;
+    if (job->statement.preparedShape.empty()) {
+        command.kind = CommandKind::Statement;
+        command.text = job->statement.text;
+    } else {
+        const std::string key = (isRead(job->statement) ? "r" : "w") + job->statement.preparedShape;
+        command.kind = CommandKind::ExecutePrepared;
+        command.name = "p" + std::to_string(job->connection->prepared.at(key));
+        command.argument = job->statement.arguments;
+    }
+    if (after)
+        command.after = job->needs;
+    return command;
+}
+
+// Nothing is sent behind a begin before it is answered: after a refused one it would run outside
+// any transaction.
+void GroupRunner::sendBegin(const JobPtr &job)
+{
+    std::vector<ServerCommand> batch = prepare(job, false);
+    const bool readOnly = job->statement.begins == inner::TransactionMode::ReadOnly;
+    if (job->statement.rule == inner::ReadRule::Newest || !readOnly)
+        job->needs = positions_.newest();
+    ServerCommand begin;
+    begin.kind = readOnly ? CommandKind::BeginReadOnly : CommandKind::Begin;
+    begin.after = job->needs;
+    batch.push_back(begin);
+    const std::size_t expected = batch.size();
+    job->connection->connection->run(std::move(batch),
+                                     [this, alive = alive_, job, expected](BatchResult result) {
+                                         if (*alive)
+                                             onBegun(job, std::move(result), expected);
+                                     });
+}
+
+void GroupRunner::sendStatement(const JobPtr &job)
+{
+    const bool inTransaction = job->statement.inTransaction;
+    if (!inTransaction && isRead(job->statement) && job->statement.rule == inner::ReadRule::Newest)
+        job->needs = positions_.newest();
+    std::vector<ServerCommand> batch = prepare(job, inTransaction);
+    batch.push_back(command(job, !inTransaction && isRead(job->statement)));
+    const std::size_t expected = batch.size();
+    job->sentAt = parts_.timers.now();
+    job->connection->connection->run(std::move(batch),
+                                     [this, alive = alive_, job, expected](BatchResult result) {
+                                         if (*alive)
+                                             onResult(job, std::move(result), expected);
+                                     });
+}
+
+void GroupRunner::onBegun(const JobPtr &job, BatchResult result, std::size_t expected)
+{
+    GroupServer *server = find(job->server);
+    if (server != nullptr && !result.results.empty()) {
+        server->heard();
+        learn(*server, result.results.back(), job->sentAt);
+    }
+    if (job->done)
+        return release(job, false);
+    if (result.results.size() < expected)
+        return onConnectionLost(job);
+    const CommandResult &begun = result.results.back();
+    if (begun.error != ServerError::None)
+        return onFailure(job, begun);
+    Transaction transaction;
+    transaction.server = job->server;
+    transaction.connection = job->connection;
+    transaction.readOnly = job->statement.begins == inner::TransactionMode::ReadOnly;
+    transaction.job = job;
+    transactions_[job->origin] = std::move(transaction);
+    sendStatement(job);
+}
+
+void GroupRunner::onResult(const JobPtr &job, BatchResult result, std::size_t expected)
+{
+    GroupServer *server = find(job->server);
+    if (server != nullptr && !result.results.empty()) {
+        server->heard();
+        learn(*server, result.results.back(), job->sentAt);
+    }
+    // Its caller has had its answer: at the deadline, or by leaving.
+    if (job->done) {
+        forgetTransaction(job->origin, true);
+        return release(job, false);
+    }
+    if (result.results.size() < expected)
+        return onConnectionLost(job);
+    for (std::size_t i = 0; i + 1 < expected; ++i)
+        if (result.results[i].error != ServerError::None)
+            return onFailure(job, result.results[i]);
+    const CommandResult &answer = result.results.back();
+    if (answer.error != ServerError::None)
+        return onFailure(job, answer);
+    succeed(job, answer);
+}
+
+// Positions that the answer shows.
+void GroupRunner::learn(GroupServer &server, const CommandResult &result, Instant sent)
+{
+    if (!result.position)
+        return;
+    const Position position = *result.position;
+    if (!server.shown || *server.shown < position || position.term != server.shown->term)
+        server.shown = position;
+    if (server.id() == keeper_.primary()) {
+        positions_.add(sent, position);
+        server.lag = Duration(0);
+        return;
+    }
+    const auto seen = positions_.firstSeen({position.term, position.offset + 1});
+    const Duration behind = seen ? std::max(Duration(0), sent - *seen) : Duration(0);
+    // Rises at once and falls slowly, as a running mean over some ten answers.
+    server.lag = behind > server.lag ? behind : server.lag - (server.lag - behind) / 8;
+}
+
+void GroupRunner::succeed(const JobPtr &job, const CommandResult &result)
+{
+    const bool commits = job->statement.verb == inner::SessionVerb::Commit
+        || (!job->statement.inTransaction && !isRead(job->statement));
+    inner::StatementDone done;
+    // An answer that came after the lease may be that of a replaced primary.
+    if (commits && !parts_.ownership.leaseHolds(group_)) {
+        done.reason = Reason::LeaseLost;
+        done.executed = Executed::Unknown;
+        done.detail = "the owner's lease ended before the answer came";
+        release(job, false);
+        if (job->statement.inTransaction)
+            forgetTransaction(job->origin, true);
+        return finish(job, std::move(done));
+    }
+    done.executed = Executed::Yes;
+    done.rows = result.rows;
+    done.signature = result.signature;
+    if (commits && result.position) {
+        done.position = result.position;
+        if (job->server == keeper_.primary())
+            keeper_.onAcknowledged(*result.position);
+    }
+    if (job->statement.inTransaction) {
+        const auto open = transactions_.find(job->origin);
+        const bool ended = job->statement.verb == inner::SessionVerb::Commit;
+        if (open != transactions_.end())
+            open->second.job = nullptr;
+        if (ended)
+            transactions_.erase(job->origin);
+        release(job, ended && result.idle);
+    } else {
+        release(job, result.idle);
+    }
+    finish(job, std::move(done));
+}
+
+// The server refused the statement or what goes before it.
+void GroupRunner::onFailure(const JobPtr &job, const CommandResult &result)
+{
+    GroupServer *server = find(job->server);
+    const Instant now = parts_.timers.now();
+    const bool continues = continuesTransaction(job->statement);
+    const bool read = isRead(job->statement);
+    // 1. What the server's state tells for the next choice.
+    if (server != nullptr && result.error == ServerError::Busy)
+        server->busyUntil = now + busyPause;
+    if (server != nullptr && result.error == ServerError::Lagging) {
+        server->behindUntil = now + behindPause;
+        if (server->id() == keeper_.primary())
+            positions_.clear();
+    }
+    if (result.error == ServerError::ReadOnly)
+        keeper_.onReadOnly(job->server);
+    // 2. A transaction that is open: a statement that was only refused can be sent again, any other
+    // error ends it.
+    if (continues || transactions_.count(job->origin) != 0) {
+        const bool again = result.error == ServerError::Busy && result.inTransaction;
+        if (again) {
+            release(job, false);
+            job->statement.begins = inner::TransactionMode::None;
+            return retry(job, Reason::QueueFull, busyPause);
+        }
+        forgetTransaction(job->origin, true);
+        const bool commit = job->statement.verb == inner::SessionVerb::Commit;
+        const bool ran = result.error == ServerError::Failed
+            || result.error == ServerError::TimedOut || result.error == ServerError::Other;
+        if (commit && ran)
+            return refuse(job, Reason::Unconfirmed, Executed::Unknown, result.detail);
+        const bool plain = result.error == ServerError::Failed;
+        return refuse(job, plain ? Reason::StatementFailed : Reason::TransactionEnded, Executed::No,
+                      result.detail);
+    }
+    // 3. Anything else of a known outcome.
+    const bool notRun = result.error == ServerError::Busy || result.error == ServerError::Lagging
+        || result.error == ServerError::ReadOnly || result.error == ServerError::UnknownStatement;
+    if (result.error == ServerError::UnknownStatement)
+        job->connection->prepared.clear();
+    release(job, notRun && result.idle);
+    const bool mayRepeat = notRun || read || job->statement.begins != inner::TransactionMode::None;
+    if (notRun || (mayRepeat && job->attempts < maxAttempts)) {
+        job->avoid.insert(job->server);
+        switch (result.error) {
+        case ServerError::Busy:
+            return retry(job, Reason::QueueFull, Duration(0));
+        case ServerError::Lagging:
+            return retry(job, Reason::PositionNotReached, Duration(0));
+        case ServerError::ReadOnly:
+            return retry(job, Reason::NoPrimary, readOnlyPause);
+        default:
+            return retry(job, Reason::StatementFailed, Duration(0));
+        }
+    }
+    if (result.error == ServerError::TimedOut)
+        return refuse(job, Reason::DeadlineExceeded, read ? Executed::No : Executed::Unknown,
+                      result.detail);
+    refuse(job, Reason::StatementFailed, read ? Executed::No : Executed::Yes, result.detail);
+}
+
+void GroupRunner::onConnectionLost(const JobPtr &job)
+{
+    const bool inTransaction = transactions_.count(job->origin) != 0;
+    const bool commit = job->statement.verb == inner::SessionVerb::Commit;
+    const bool begins = job->statement.begins != inner::TransactionMode::None;
+    parts_.log.info("server_answer_lost")
+        .with("id", job->statement.statementId)
+        .with("group", group_)
+        .with("server", job->server)
+        .with("read", isRead(job->statement));
+    const ServerName server = job->server;
+    release(job, false);
+    if (inTransaction)
+        forgetTransaction(job->origin, true);
+    onTrouble(server, ConnectOutcome::Failed);
+    const bool single = !job->statement.inTransaction;
+    const bool mayRepeat = (single && isRead(job->statement)) || (begins && !commit);
+    if (mayRepeat && job->attempts < maxAttempts) {
+        job->avoid.insert(server);
+        return retry(job, Reason::Unconfirmed, Duration(0));
+    }
+    if (commit || (single && !isRead(job->statement)))
+        return refuse(job, Reason::Unconfirmed, Executed::Unknown, "the server's answer was lost");
+    refuse(job, Reason::TransactionEnded, Executed::No, "the transaction's connection was lost");
+}
+
+// Gives slot and connection back; a connection that is pinned by an open transaction stays.
+void GroupRunner::release(const JobPtr &job, bool reusable)
+{
+    if (!job->running)
+        return;
+    job->running = false;
+    running_.erase(job);
+    GroupServer *server = find(job->server);
+    if (server == nullptr)
+        return;
+    server->endWork();
+    const auto open = transactions_.find(job->origin);
+    const bool pinned = open != transactions_.end() && open->second.connection == job->connection;
+    if (!pinned && reusable)
+        server->giveBack(job->connection);
+    else if (!pinned)
+        server->discard(job->connection);
+    if (!pinned)
+        job->connection = nullptr;
+    pumpSoon();
+}
+
+void GroupRunner::retry(const JobPtr &job, Reason why, Duration pause)
+{
+    parts_.metrics.countRetry(why);
+    parts_.log.line(LogLevel::Debug, "statement_retry", reasonInfo(why).name)
+        .with("id", job->statement.statementId)
+        .with("group", group_)
+        .with("server", job->server)
+        .with("attempt", job->attempts);
+    const Instant now = parts_.timers.now();
+    if (!active_ && !continuesTransaction(job->statement))
+        return refuse(job, Reason::NotOwner, Executed::No, "the group has another owner");
+    job->notBefore = now + pause;
+    enqueue(job);
+    pumpSoon();
+}
+
+void GroupRunner::refuse(const JobPtr &job, Reason reason, Executed executed,
+                         const std::string &detail, Duration retryAfter)
+{
+    inner::StatementDone done;
+    done.reason = reason;
+    done.executed = executed;
+    done.detail = detail;
+    done.retryAfter = retryAfter;
+    finish(job, std::move(done));
+}
+
+void GroupRunner::finish(const JobPtr &job, inner::StatementDone done)
+{
+    if (job->done)
+        return;
+    job->done = true;
+    parts_.timers.cancel(job->timer);
+    done.requestId = job->statement.requestId;
+    const auto callback = std::move(job->callback);
+    job->callback = nullptr;
+    callback(std::move(done));
+}
+
+Duration GroupRunner::retryHint() const
+{
+    return keeper_.primary().empty() ? primaryHint : fullHint;
+}
+
+void GroupRunner::onDeadline(const JobPtr &job)
+{
+    if (job->done)
+        return;
+    // 1. It never started: that is certain.
+    if (!job->running) {
+        queue_.remove(job);
+        const auto open = transactions_.find(job->origin);
+        if (open != transactions_.end() && open->second.job == job)
+            forgetTransaction(job->origin, true);
+        const bool noPrimary = keeper_.primary().empty();
+        return refuse(job, noPrimary ? Reason::NoPrimary : Reason::DeadlineTooShort, Executed::No,
+                      "no server was free in time", retryHint());
+    }
+    // 2. It runs: the connection is given up with it.
+    const bool kept = job->statement.verb == inner::SessionVerb::Commit
+        || (!job->statement.inTransaction && !isRead(job->statement));
+    refuse(job, Reason::DeadlineExceeded, kept ? Executed::Unknown : Executed::No,
+           "the server did not answer in time");
+    job->connection->connection->close();
+}
+
+// Transactions
+
+void GroupRunner::endTransaction(inner::LinkId origin, std::uint64_t session)
+{
+    rollBack({origin, session});
+}
+
+void GroupRunner::rollBack(const Origin &origin)
+{
+    const auto open = transactions_.find(origin);
+    if (open == transactions_.end())
+        return giveUpBegin(origin);
+    // 1. While a statement runs in it, only the end of the connection ends it.
+    if (open->second.job) {
+        const JobPtr job = open->second.job;
+        if (!job->running)
+            queue_.remove(job);
+        refuse(job, Reason::TransactionEnded, Executed::No, "the caller ended the transaction");
+        return forgetTransaction(origin, true);
+    }
+    // 2. Otherwise the connection is rolled back and used again.
+    const Transaction transaction = open->second;
+    transactions_.erase(open);
+    GroupServer *server = find(transaction.server);
+    if (server == nullptr || !transaction.connection->connection->isOpen()) {
+        if (server != nullptr)
+            server->discard(transaction.connection);
+        return;
+    }
+    ServerCommand command;
+    command.kind = CommandKind::Rollback;
+    server->sent();
+    transaction.connection->connection->run(
+        {command}, [this, alive = alive_, transaction](BatchResult result) {
+            GroupServer *server = *alive ? find(transaction.server) : nullptr;
+            if (server == nullptr)
+                return;
+            const bool clean = !result.lost && !result.results.empty()
+                && result.results[0].error == ServerError::None && result.results[0].idle;
+            if (clean)
+                server->giveBack(transaction.connection);
+            else
+                server->discard(transaction.connection);
+            pumpSoon();
+        });
+}
+
+// The transaction has not begun yet; it must not do so for nobody.
+void GroupRunner::giveUpBegin(const Origin &origin)
+{
+    std::vector<JobPtr> jobs(queue_.begin(), queue_.end());
+    jobs.insert(jobs.end(), running_.begin(), running_.end());
+    for (const JobPtr &job : jobs) {
+        if (job->origin != origin || job->statement.begins == inner::TransactionMode::None)
+            continue;
+        if (!job->running)
+            queue_.remove(job);
+        refuse(job, Reason::TransactionEnded, Executed::No, "the caller ended the transaction");
+    }
+}
+
+void GroupRunner::forgetTransaction(const Origin &origin, bool close)
+{
+    const auto open = transactions_.find(origin);
+    if (open == transactions_.end())
+        return;
+    const Transaction transaction = open->second;
+    transactions_.erase(open);
+    GroupServer *server = find(transaction.server);
+    if (close && server != nullptr)
+        server->discard(transaction.connection);
+    else if (close)
+        transaction.connection->connection->close();
+}
+
+void GroupRunner::onOriginGone(inner::LinkId origin)
+{
+    std::vector<Origin> gone;
+    for (const auto &[key, transaction] : transactions_)
+        if (key.first == origin)
+            gone.push_back(key);
+    for (const Origin &key : gone)
+        rollBack(key);
+}
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/grouprunner.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "decision/positionlog.h"
+#include "group/primarykeeper.h"
+#include "session/catalogue.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace kelptally::group {
+
+// The owner of one group: queues statements, chooses servers and connections, and runs
+// transactions.
+class GroupRunner : public PrimaryEvents
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        ServerConnector &connector;
+        OwnershipTable &ownership;
+        PromotionService &promotions;
+        EventLog &log;
+        Metrics &metrics;
+        PrimaryKeeper::Prober probe;
+        ZoneName zone;
+    };
+
+    GroupRunner(const Parts &parts, const GroupName &group);
+    ~GroupRunner() override;
+
+    void setServers(const std::vector<ListedServer> &servers);
+    void setOptions(const session::GroupOptions &options);
+
+    void onAcquired();
+    void onLost();
+    // Nothing of an earlier ownership is under way any more.
+    bool isQuiet() const;
+    // Ends whatever is under way.
+    void closeAll();
+    // Zone of the server that leads; empty when none does.
+    ZoneName primaryZone() const;
+
+    void run(inner::LinkId origin, inner::RunStatement statement, session::DoneCallback callback);
+    void endTransaction(inner::LinkId origin, std::uint64_t session);
+    // The entry is gone: what its sessions have open is rolled back.
+    void onOriginGone(inner::LinkId origin);
+
+    void onPrimary(const ServerName &server) override;
+    void onPrimaryLost(const ServerName &server) override;
+    void onWritesHeld(bool held) override;
+
+    std::size_t queued() const { return queue_.size(); }
+    std::size_t transactions() const { return transactions_.size(); }
+
+private:
+    using Origin = std::pair<inner::LinkId, std::uint64_t>;
+
+    // One statement on its way through the owner.
+    struct Job
+    {
+        inner::RunStatement statement;
+        Origin origin;
+        session::DoneCallback callback;
+        std::map<std::string, std::string> values;
+        Instant arrived;
+        Instant deadline;
+        // Objectives met first; see the queue.
+        Instant due;
+        // Position that a read needs, once it has been worked out.
+        std::optional<Position> needs;
+        // Servers that have failed it.
+        std::set<ServerName> avoid;
+        int attempts = 0;
+        Instant notBefore {};
+        // While it runs.
+        ServerName server;
+        PooledConnectionPtr connection;
+        Instant sentAt;
+        bool running = false;
+        bool done = false;
+        TimerId timer = 0;
+    };
+    using JobPtr = std::shared_ptr<Job>;
+
+    struct Transaction
+    {
+        ServerName server;
+        PooledConnectionPtr connection;
+        bool readOnly = false;
+        // The statement that runs in it; null between statements.
+        JobPtr job;
+        // Its caller has gone: it ends with the statement that runs.
+        bool ending = false;
+    };
+
+    void enqueue(const JobPtr &job);
+    void pump();
+    void pumpSoon();
+    bool tryStart(const JobPtr &job, Instant now);
+    bool startInTransaction(const JobPtr &job, Transaction &transaction);
+    GroupServer *chooseServer(const JobPtr &job, Instant now);
+    GroupServer *chooseReader(const JobPtr &job, Instant now);
+    bool mayHold(const GroupServer &server, Position needed, Instant now) const;
+    std::optional<Position> positionNeeded(const JobPtr &job, Instant now);
+    void start(const JobPtr &job, GroupServer &server, const PooledConnectionPtr &connection);
+    void sendBegin(const JobPtr &job);
+    void sendStatement(const JobPtr &job);
+    std::vector<ServerCommand> prepare(const JobPtr &job, bool inTransaction);
+    ServerCommand command(const JobPtr &job, bool after) const;
+    void onBegun(const JobPtr &job, BatchResult result, std::size_t expected);
+    void onResult(const JobPtr &job, BatchResult result, std::size_t expected);
+    void onFailure(const JobPtr &job, const CommandResult &result);
+    void onConnectionLost(const JobPtr &job);
+    void learn(GroupServer &server, const CommandResult &result, Instant sent);
+    void release(const JobPtr &job, bool reusable);
+    void retry(const JobPtr &job, Reason why, Duration pause);
+    void succeed(const JobPtr &job, const CommandResult &result);
+    void refuse(const JobPtr &job, Reason reason, Executed executed, const std::string &detail,
+                Duration retryAfter = {});
+    void finish(const JobPtr &job, inner::StatementDone done);
+    void onDeadline(const JobPtr &job);
+    void rollBack(const Origin &origin);
+    void giveUpBegin(const Origin &origin);
+    void forgetTransaction(const Origin &origin, bool close);
+    void dropServer(const ServerName &id);
+    void onTrouble(const ServerName &server, ConnectOutcome outcome);
+    Duration retryHint() const;
+    GroupServer *find(const ServerName &id);
+
+    const Parts parts_;
+    const GroupName group_;
+    session::GroupOptions options_;
+    GroupServers servers_;
+    PrimaryKeeper keeper_;
+    decision::PositionLog positions_;
+    // By priority and objective: transactions that are open come first, since they hold
+    // connections.
+    std::list<JobPtr> queue_;
+    std::set<JobPtr> running_;
+    std::map<Origin, Transaction> transactions_;
+    bool active_ = false;
+    bool writesHeld_ = false;
+    bool pumping_ = false;
+    // The same, shared with callbacks of servers that have gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/groupserver.cpp
@@ -0,0 +1,245 @@
+#include "group/groupserver.h"
+
+#include <algorithm>
+
+namespace kelptally::group {
+
+namespace {
+
+// A connection takes 12 ms to open where it was measured; a dark server never answers.
+constexpr Duration connectTimeout = std::chrono::milliseconds(1000);
+// Pause after a failed attempt, so that a dead server costs few attempts.
+constexpr Duration connectPause = std::chrono::milliseconds(100);
+// Of a server's connections the owner takes this share: an owner before it may still hold as many,
+// and both must fit most of the time. The server itself holds the limit.
+constexpr int sharePercent = 60;
+constexpr int leastShare = 3;
+// Opened ahead beyond the slots: connections that rest inside transactions.
+constexpr int spareConnections = 1;
+// Prepared statements of one connection before all are cleared.
+constexpr std::size_t maxPrepared = 200;
+
+} // namespace
+
+GroupServer::GroupServer(const Parts &parts, const ListedServer &listed)
+    : parts_(parts), listed_(listed), lastHeard_(parts.timers.now())
+{ }
+
+GroupServer::~GroupServer()
+{
+    *alive_ = false;
+    closeAll();
+}
+
+void GroupServer::update(const ListedServer &listed)
+{
+    listed_ = listed;
+}
+
+void GroupServer::setMaxConnections(int count)
+{
+    maxConnections_ = count;
+}
+
+int GroupServer::share() const
+{
+    return std::max(leastShare, maxConnections_ * sharePercent / 100);
+}
+
+void GroupServer::warmUp()
+{
+    const int wanted = std::min(share(), listed_.slots + spareConnections);
+    while (total_ + opening_ < wanted && parts_.timers.now() >= retryAt_)
+        open();
+}
+
+void GroupServer::closeAll()
+{
+    const auto idle = std::move(idle_);
+    idle_.clear();
+    for (const PooledConnectionPtr &connection : idle)
+        connection->connection->close();
+    const auto taken = std::move(taken_);
+    taken_.clear();
+    total_ = 0;
+    for (const PooledConnectionPtr &connection : taken)
+        connection->connection->close();
+    const auto control = std::move(control_);
+    control_ = nullptr;
+    controlBusy_ = false;
+    if (control)
+        control->close();
+}
+
+PooledConnectionPtr GroupServer::take(const std::map<std::string, std::string> &values)
+{
+    while (!idle_.empty()) {
+        auto best = std::find_if(idle_.rbegin(), idle_.rend(),
+                                 [&](const auto &c) { return c->values == values; });
+        const auto at = best == idle_.rend() ? idle_.end() - 1 : std::prev(best.base());
+        const PooledConnectionPtr connection = *at;
+        idle_.erase(at);
+        if (!connection->connection->isOpen()) {
+            --total_;
+            continue;
+        }
+        taken_.insert(connection);
+        return connection;
+    }
+    if (total_ + opening_ < share() && parts_.timers.now() >= retryAt_)
+        open();
+    return nullptr;
+}
+
+void GroupServer::giveBack(const PooledConnectionPtr &connection)
+{
+    if (taken_.erase(connection) == 0)
+        return;
+    if (!connection->connection->isOpen()) {
+        --total_;
+        return;
+    }
+    if (connection->prepared.size() > maxPrepared) {
+        --total_;
+        connection->connection->close();
+        return;
+    }
+    idle_.push_back(connection);
+}
+
+void GroupServer::discard(const PooledConnectionPtr &connection)
+{
+    connection->connection->close();
+    if (taken_.erase(connection) != 0)
+        --total_;
+}
+
+void GroupServer::open()
+{
+    sent();
+    ++opening_;
+    parts_.connector.connect(
+        address(), connectTimeout,
+        [this, alive = alive_](ConnectOutcome outcome, const ServerConnectionPtr &connection) {
+            if (*alive)
+                onConnected(outcome, connection);
+            else if (connection)
+                connection->close();
+        });
+}
+
+void GroupServer::onConnected(ConnectOutcome outcome, const ServerConnectionPtr &connection)
+{
+    --opening_;
+    if (outcome != ConnectOutcome::Ok) {
+        retryAt_ = parts_.timers.now() + connectPause;
+        if (outcome == ConnectOutcome::TooManyConnections)
+            heard();
+        else
+            unreachable_ = true;
+        parts_.log.info("server_connect_failed")
+            .with("server", listed_.id)
+            .with("outcome", static_cast<int>(outcome))
+            .with("open", total_);
+        parts_.onTrouble(listed_.id, outcome);
+        return;
+    }
+    unreachable_ = false;
+    heard();
+    auto pooled = std::make_shared<PooledConnection>();
+    pooled->connection = connection;
+    ++total_;
+    idle_.push_back(pooled);
+    const std::weak_ptr<PooledConnection> weak = pooled;
+    connection->onEnd([this, alive = alive_, weak] {
+        const auto ended = weak.lock();
+        if (*alive && ended)
+            onIdleEnded(ended);
+    });
+    parts_.onFree();
+}
+
+void GroupServer::onIdleEnded(const PooledConnectionPtr &connection)
+{
+    const auto found = std::find(idle_.begin(), idle_.end(), connection);
+    if (found == idle_.end())
+        return;
+    idle_.erase(found);
+    --total_;
+    parts_.onTrouble(listed_.id, ConnectOutcome::Failed);
+}
+
+void GroupServer::control(ServerCommand command, Duration timeout, BatchCallback callback)
+{
+    sent();
+    if (control_ && control_->isOpen() && !controlBusy_)
+        return runControl(std::move(command), timeout, std::move(callback));
+    const auto connected = [this, alive = alive_, command, timeout, callback](
+                               ConnectOutcome outcome, const ServerConnectionPtr &connection) {
+        if (!*alive || outcome != ConnectOutcome::Ok) {
+            if (connection)
+                connection->close();
+            if (*alive) {
+                unreachable_ = outcome != ConnectOutcome::TooManyConnections;
+                parts_.onTrouble(listed_.id, outcome);
+            }
+            return callback({{}, true});
+        }
+        unreachable_ = false;
+        heard();
+        if (control_)
+            control_->close();
+        control_ = connection;
+        controlBusy_ = false;
+        runControl(command, timeout, callback);
+    };
+    parts_.connector.connect(address(), timeout, connected);
+}
+
+void GroupServer::runControl(ServerCommand command, Duration timeout, BatchCallback callback)
+{
+    controlBusy_ = true;
+    const ServerConnectionPtr connection = control_;
+    const TimerId timer =
+        parts_.timers.subscribeAfter(timeout, [connection] { connection->close(); });
+    connection->run({std::move(command)},
+                    [this, alive = alive_, timer, connection,
+                     callback = std::move(callback)](BatchResult result) {
+                        if (*alive) {
+                            parts_.timers.cancel(timer);
+                            if (control_ == connection) {
+                                controlBusy_ = false;
+                                if (result.lost)
+                                    control_ = nullptr;
+                            }
+                            if (!result.lost)
+                                heard();
+                        }
+                        callback(std::move(result));
+                    });
+}
+
+void GroupServer::heard()
+{
+    lastHeard_ = parts_.timers.now();
+}
+
+void GroupServer::sent()
+{
+    if (!owes())
+        owedFrom_ = parts_.timers.now();
+}
+
+bool GroupServer::owes() const
+{
+    return inFlight_ > 0 || controlBusy_ || opening_ > 0;
+}
+
+std::optional<Instant> GroupServer::owesSince() const
+{
+    if (!owes())
+        return std::nullopt;
+    return std::max(lastHeard_, owedFrom_);
+}
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/groupserver.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/timerservice.h"
+#include "group/serverport.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kelptally::group {
+
+// A connection with what it holds of its last user.
+struct PooledConnection
+{
+    ServerConnectionPtr connection;
+    std::map<std::string, std::string> values;
+    // Number on this connection by kind and shape: "r" or "w" and the shape.
+    std::map<std::string, int> prepared;
+    int lastPrepared = 0;
+};
+
+using PooledConnectionPtr = std::shared_ptr<PooledConnection>;
+
+// One server of a group as its owner sees it: connections within the owner's share of the server's
+// limit, slots in use, and what the server has shown of itself.
+class GroupServer
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        ServerConnector &connector;
+        EventLog &log;
+        // A connection or a slot has become free, or the server was heard again.
+        std::function<void()> onFree;
+        // All connections ended or none can be opened.
+        std::function<void(const ServerName &, ConnectOutcome)> onTrouble;
+    };
+
+    GroupServer(const Parts &parts, const ListedServer &listed);
+    ~GroupServer();
+
+    void update(const ListedServer &listed);
+    // Connections of all owners together; this one takes a share of them.
+    void setMaxConnections(int count);
+    // Opens what the slots need, so that the first statements don't wait for it.
+    void warmUp();
+    // Closes everything; running batches end as lost.
+    void closeAll();
+
+    // A free connection, best one with these values; null when there is none, and one is opened
+    // then if the share allows it.
+    PooledConnectionPtr take(const std::map<std::string, std::string> &values);
+    // Gives back a connection that is in a known state and in no transaction.
+    void giveBack(const PooledConnectionPtr &connection);
+    void discard(const PooledConnectionPtr &connection);
+
+    // Sends commands of the owner's own on a connection kept for them. Without an answer within the
+    // timeout the result is lost.
+    void control(ServerCommand command, Duration timeout, BatchCallback callback);
+
+    // Called before anything is sent, and before beginWork().
+    void sent();
+    void beginWork() { ++inFlight_; }
+    void endWork() { --inFlight_; }
+    int inFlight() const { return inFlight_; }
+    int slots() const { return listed_.slots; }
+    bool hasSlot() const { return inFlight_ < listed_.slots; }
+
+    // Something was heard from it.
+    void heard();
+    Instant lastHeard() const { return lastHeard_; }
+    // Since when it owes an answer and has said nothing; nothing when it owes none.
+    std::optional<Instant> owesSince() const;
+
+    const ServerName &id() const { return listed_.id; }
+    const ListedServer &listed() const { return listed_; }
+    // The last attempt to connect failed and none has succeeded since.
+    bool isUnreachable() const { return unreachable_; }
+    int connections() const { return total_; }
+    ServerAddress address() const { return {listed_.id, listed_.group, listed_.endpoint}; }
+
+    // Highest position in its answers; what a read there surely finds.
+    std::optional<Position> shown;
+    // How far it was behind when it was last known.
+    Duration lag {0};
+    // Not asked for reads until then: it has just refused one as too new for it.
+    Instant behindUntil {};
+    // Not asked for anything until then: it has just refused work.
+    Instant busyUntil {};
+
+private:
+    void open();
+    void onConnected(ConnectOutcome outcome, const ServerConnectionPtr &connection);
+    void onIdleEnded(const PooledConnectionPtr &connection);
+    void runControl(ServerCommand command, Duration timeout, BatchCallback callback);
+    int share() const;
+    bool owes() const;
+
+    const Parts parts_;
+    ListedServer listed_;
+    int maxConnections_ = 0;
+    std::vector<PooledConnectionPtr> idle_;
+    std::set<PooledConnectionPtr> taken_;
+    ServerConnectionPtr control_;
+    bool controlBusy_ = false;
+    int total_ = 0;
+    int opening_ = 0;
+    int inFlight_ = 0;
+    bool unreachable_ = false;
+    Instant retryAt_ {};
+    Instant lastHeard_;
+    Instant owedFrom_ {};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/ownership.cpp
@@ -0,0 +1,539 @@
+#include "group/ownership.h"
+
+#include "core/json.h"
+
+#include <functional>
+
+namespace kelptally::group {
+
+namespace {
+
+const std::string table = "kelptally_owners";
+
+// An owner acts this long after it asked for its row and found it unchanged. Longer than the
+// outages of the store that are usual, so that service goes on through them; it delays a change of
+// primary only when owner and primary are lost together and the owner's end cannot be proven.
+constexpr Duration lease = std::chrono::seconds(12);
+// Clocks of two hosts may run apart by this over one lease: 1%, far above any real drift.
+constexpr Duration clockMargin = std::chrono::milliseconds(120);
+// The row is read this often, so that a lost answer or two leave most of the lease.
+constexpr Duration renewPeriod = std::chrono::milliseconds(1500);
+// A claim that is read and written within this time still knows the guard of its row.
+constexpr Duration claimTime = std::chrono::seconds(3);
+// A change with no answer may still take effect; the row is looked at so often before giving up.
+constexpr int readBackTries = 20;
+constexpr Duration readBackPause = std::chrono::milliseconds(150);
+constexpr Duration predecessorPeriod = std::chrono::milliseconds(200);
+// Claims of several hosts are spread over this time by a hash of group and host, so that mostly one
+// of them writes. In the primary's zone they come first: statements then cross zones less.
+constexpr Duration claimSpread = std::chrono::milliseconds(60);
+constexpr Duration otherZoneDelay = std::chrono::milliseconds(80);
+// At a cold start hosts come up within some hundred ms of each other.
+constexpr Duration coldStartDelay = std::chrono::milliseconds(300);
+
+} // namespace
+
+std::string encodeOwnership(const OwnershipRecord &record)
+{
+    JsonWriter writer;
+    writer.beginObject();
+    writer.member("epoch", record.epoch);
+    writer.member("owner", record.owner.address);
+    writer.member("incarnation", record.owner.incarnation);
+    writer.member("primary", record.primary);
+    writer.member("term", record.term);
+    writer.member("candidate", record.candidate);
+    writer.member("guarded_until_ms",
+                  std::int64_t(record.guardedUntil / std::chrono::milliseconds(1)));
+    writer.endObject();
+    return writer.take();
+}
+
+absl::StatusOr<OwnershipRecord> decodeOwnership(const std::string &text)
+{
+    const auto json = parseJson(text);
+    if (!json.ok())
+        return json.status();
+    const JsonValue *epoch = json->find("epoch");
+    const JsonValue *incarnation = json->find("incarnation");
+    if (epoch == nullptr || incarnation == nullptr)
+        return absl::InvalidArgumentError("a row of owners lacks its epoch or incarnation");
+    OwnershipRecord record;
+    record.epoch = static_cast<OwnerEpoch>(epoch->toInteger());
+    record.owner = {json->textOf("owner"), static_cast<Incarnation>(incarnation->toInteger())};
+    record.primary = json->textOf("primary");
+    if (const JsonValue *term = json->find("term"))
+        record.term = static_cast<Term>(term->toInteger());
+    record.candidate = json->textOf("candidate");
+    if (const JsonValue *until = json->find("guarded_until_ms"))
+        record.guardedUntil = std::chrono::milliseconds(until->toInteger());
+    return record;
+}
+
+OwnershipTable::OwnershipTable(const Parts &parts, OwnershipEvents &events)
+    : parts_(parts), events_(events),
+      follower_({parts.timers, parts.feed, parts.log}, table, Duration(0),
+                {[this](const services::TableRow &row) { apply(row); }, [](const std::string &) {},
+                 [this] { onRead(); }})
+{ }
+
+void OwnershipTable::start()
+{
+    follower_.start();
+    parts_.timers.subscribeEvery(renewPeriod, [this] { renew(); });
+}
+
+// Knowing the rows
+
+void OwnershipTable::onRead()
+{
+    const std::set<GroupName> wanted = std::move(wanted_);
+    wanted_.clear();
+    for (const GroupName &group : wanted)
+        wantOwner(group);
+}
+
+// The owner that was asked is none: the feed is late or hears nothing.
+void OwnershipTable::refreshOwner(const GroupName &group)
+{
+    parts_.table.read(table, group, [this](auto row) {
+        if (row.ok() && *row)
+            apply(**row);
+    });
+}
+
+void OwnershipTable::apply(const services::TableRow &row)
+{
+    const auto record = decodeOwnership(row.value);
+    if (!record.ok()) {
+        parts_.log.warning("owner_row_invalid")
+            .with("group", row.key)
+            .with("cause", record.status().message());
+        return;
+    }
+    applyRecord(row.key, *record, row.etag);
+}
+
+// Takes over what a row says; older news are ignored.
+void OwnershipTable::applyRecord(const GroupName &group, const OwnershipRecord &record,
+                                 const std::string &etag)
+{
+    Entry &entry = entries_[group];
+    if (entry.known && record.epoch < entry.record.epoch)
+        return;
+    const bool owned = owns(group);
+    const bool changed = !entry.known || record.epoch != entry.record.epoch;
+    // The own row is changed by this process alone, which knows what it wrote.
+    if (owned && !changed)
+        return;
+    const OwnershipRecord before = entry.record;
+    entry.known = true;
+    entry.record = record;
+    entry.etag = etag;
+    if (!changed)
+        return;
+    parts_.log.info("owner_changed")
+        .with("group", group)
+        .with("epoch", record.epoch)
+        .with("owner", record.owner.address);
+    if (owned) {
+        parts_.log.warning("ownership_lost").with("group", group).with("epoch", before.epoch);
+        events_.onLost(group);
+    } else if (record.owner == parts_.self) {
+        // A hand-over, or a claim whose answer was lost: how old the news are is not known, so the
+        // lease begins with the next read.
+        entry.leaseUntil = Instant();
+        acquire(group, record, etag, before, {});
+    }
+    events_.onOwnerChanged(group);
+    // A row of an earlier run of this very process: that run is dead.
+    if (record.owner.address == parts_.self.address && record.owner != parts_.self)
+        planClaim(group, "restarted", Duration(0));
+}
+
+std::optional<session::OwnerRef> OwnershipTable::owner(const GroupName &group) const
+{
+    const auto found = entries_.find(group);
+    if (found == entries_.end() || !found->second.known
+        || found->second.record.owner.address.empty())
+        return std::nullopt;
+    const OwnershipRecord &record = found->second.record;
+    // An earlier run of this process answers nobody.
+    if (record.owner.address == parts_.self.address && record.owner != parts_.self)
+        return std::nullopt;
+    return session::OwnerRef {record.epoch, record.owner};
+}
+
+bool OwnershipTable::owns(const GroupName &group) const
+{
+    const auto found = entries_.find(group);
+    return found != entries_.end() && found->second.known
+        && found->second.record.owner == parts_.self;
+}
+
+std::vector<GroupName> OwnershipTable::owned() const
+{
+    std::vector<GroupName> groups;
+    for (const auto &[group, entry] : entries_)
+        if (owns(group))
+            groups.push_back(group);
+    return groups;
+}
+
+const OwnershipRecord *OwnershipTable::record(const GroupName &group) const
+{
+    const auto found = entries_.find(group);
+    return found == entries_.end() || !found->second.known ? nullptr : &found->second.record;
+}
+
+bool OwnershipTable::leaseHolds(const GroupName &group) const
+{
+    return leaseLeft(group) > Duration(0);
+}
+
+Duration OwnershipTable::leaseLeft(const GroupName &group) const
+{
+    const auto found = entries_.find(group);
+    if (found == entries_.end())
+        return Duration(0);
+    return found->second.leaseUntil - parts_.timers.now();
+}
+
+bool OwnershipTable::isAlone(const GroupName &group) const
+{
+    const auto found = entries_.find(group);
+    if (found == entries_.end())
+        return false;
+    const Entry &entry = found->second;
+    const Instant now = parts_.timers.now();
+    const bool predecessorEnded = !entry.predecessor || now >= entry.predecessorUntil;
+    return predecessorEnded && now >= entry.guardedUntil;
+}
+
+// Claims
+
+void OwnershipTable::wantOwner(const GroupName &group)
+{
+    if (!isReady()) {
+        wanted_.insert(group);
+        return;
+    }
+    if (!owner(group))
+        planClaim(group, "unowned", coldStartDelay + 2 * claimDelay(group));
+}
+
+void OwnershipTable::suspectOwner(const GroupName &group, const session::OwnerRef &suspect,
+                                  const std::string &why)
+{
+    const auto now = owner(group);
+    if (now && now->epoch == suspect.epoch && now->process != parts_.self)
+        planClaim(group, why, claimDelay(group));
+}
+
+Duration OwnershipTable::claimDelay(const GroupName &group) const
+{
+    const std::size_t hash = std::hash<std::string>()(group + "/" + parts_.self.address);
+    constexpr std::size_t steps = 64;
+    const Duration spread = claimSpread * static_cast<int>(hash % steps) / static_cast<int>(steps);
+    return spread + (parts_.primaryZone(group) == parts_.zone ? Duration(0) : otherZoneDelay);
+}
+
+void OwnershipTable::planClaim(const GroupName &group, const std::string &why, Duration delay)
+{
+    Entry &entry = entries_[group];
+    if (!claiming_ || entry.claimPlanned || entry.writing)
+        return;
+    entry.claimPlanned = true;
+    const OwnerEpoch seen = entry.record.epoch;
+    parts_.timers.subscribeAfter(delay, [this, group, seen, why] {
+        entries_[group].claimPlanned = false;
+        claim(group, seen, why);
+    });
+}
+
+void OwnershipTable::claim(const GroupName &group, OwnerEpoch seen, const std::string &why)
+{
+    Entry &entry = entries_[group];
+    if (!claiming_ || entry.writing || entry.record.epoch != seen)
+        return;
+    entry.writing = true;
+    parts_.table.read(table, group, [this, group, seen, why](auto row) {
+        Entry &entry = entries_[group];
+        if (!row.ok()) {
+            entry.writing = false;
+            parts_.log.warning("claim_unread")
+                .with("group", group)
+                .with("cause", row.status().message());
+            return;
+        }
+        if (*row)
+            apply(**row);
+        if (entry.record.epoch != seen) {
+            entry.writing = false;
+            return;
+        }
+        writeClaim(group, *row, why);
+    });
+}
+
+void OwnershipTable::writeClaim(const GroupName &group,
+                                const std::optional<services::TableRow> &row,
+                                const std::string &why)
+{
+    const Entry &entry = entries_[group];
+    const OwnershipRecord before = entry.record;
+    const Duration serviceTime = row && row->serviceTime ? *row->serviceTime : Duration(0);
+    OwnershipRecord record = before;
+    record.epoch = before.epoch + 1;
+    record.owner = parts_.self;
+    const bool deadRun = before.owner.address == parts_.self.address;
+    if (!before.owner.address.empty() && !deadRun)
+        record.guardedUntil = serviceTime + claimTime + lease + clockMargin;
+    parts_.log.info("claim", why)
+        .with("group", group)
+        .with("epoch", record.epoch)
+        .with("from", before.owner.address);
+    write(group, record, row ? row->etag : std::string(), row.has_value(),
+          [this, group, record, before, serviceTime](absl::Status written) {
+              Entry &entry = entries_[group];
+              if (!written.ok()) {
+                  parts_.log.info("claim_failed")
+                      .with("group", group)
+                      .with("cause", written.message());
+                  return;
+              }
+              if (entry.record.epoch <= record.epoch && !owns(group)) {
+                  entry.known = true;
+                  entry.record = record;
+                  acquire(group, record, entry.etag, before, serviceTime);
+                  events_.onOwnerChanged(group);
+              }
+          });
+}
+
+// Leases count from now on; the time of the claim itself is on the safe side for those before.
+void OwnershipTable::acquire(const GroupName &group, const OwnershipRecord &record,
+                             const std::string &etag, const OwnershipRecord &before,
+                             Duration serviceTime)
+{
+    Entry &entry = entries_[group];
+    const Instant now = parts_.timers.now();
+    entry.etag = etag;
+    entry.predecessor.reset();
+    const bool other = !before.owner.address.empty() && before.owner.address != parts_.self.address;
+    if (other) {
+        entry.predecessor = before.owner;
+        entry.predecessorEpoch = before.epoch;
+        entry.predecessorUntil = now + lease + clockMargin;
+    }
+    const Duration guard = before.guardedUntil - serviceTime;
+    entry.guardedUntil = serviceTime == Duration(0) ? now + lease + clockMargin : now + guard;
+    if (before.guardedUntil == Duration(0))
+        entry.guardedUntil = now;
+    parts_.log.info("ownership_won")
+        .with("group", group)
+        .with("epoch", record.epoch)
+        .with("before", before.owner.address)
+        .with("guard_ms", std::max(Duration(0), entry.guardedUntil - now));
+    renewOne(group);
+    if (other && !asking_) {
+        asking_ = true;
+        askPredecessors();
+    }
+    events_.onAcquired(group);
+}
+
+// Writing
+
+void OwnershipTable::write(const GroupName &group, const OwnershipRecord &record,
+                           const std::string &etag, bool exists,
+                           std::function<void(absl::Status)> callback)
+{
+    services::ConditionalWrite write;
+    write.table = table;
+    write.key = group;
+    write.value = encodeOwnership(record);
+    if (exists)
+        write.expectedEtag = etag;
+    entries_[group].writing = true;
+    const Instant sent = parts_.timers.now();
+    parts_.table.write({write},
+                       [this, group, record, sent, callback = std::move(callback)](
+                           absl::StatusOr<std::vector<std::string>> tags) {
+                           Entry &entry = entries_[group];
+                           const bool unclear = absl::IsUnknown(tags.status())
+                               || absl::IsDeadlineExceeded(tags.status());
+                           if (unclear)
+                               return readBack(group, record, readBackTries, callback);
+                           entry.writing = false;
+                           if (tags.ok()) {
+                               entry.etag = tags->front();
+                               if (record.owner == parts_.self)
+                                   entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
+                           }
+                           callback(tags.status());
+                       });
+}
+
+void OwnershipTable::readBack(const GroupName &group, const OwnershipRecord &wanted, int triesLeft,
+                              std::function<void(absl::Status)> callback)
+{
+    parts_.table.read(
+        table, group, [this, group, wanted, triesLeft, callback = std::move(callback)](auto row) {
+            Entry &entry = entries_[group];
+            if (row.ok() && *row) {
+                const auto record = decodeOwnership((*row)->value);
+                if (record.ok() && (*row)->value == encodeOwnership(wanted)) {
+                    entry.writing = false;
+                    entry.etag = (*row)->etag;
+                    return callback(absl::OkStatus());
+                }
+                if (record.ok() && record->epoch >= wanted.epoch && record->owner != wanted.owner) {
+                    entry.writing = false;
+                    apply(**row);
+                    return callback(absl::FailedPreconditionError("another write came first"));
+                }
+            }
+            if (triesLeft == 0) {
+                entry.writing = false;
+                return callback(absl::UnknownError("the row does not show whether it was written"));
+            }
+            parts_.timers.subscribeAfter(readBackPause, [this, group, wanted, triesLeft, callback] {
+                readBack(group, wanted, triesLeft - 1, callback);
+            });
+        });
+}
+
+void OwnershipTable::change(const GroupName &group, const Change &change,
+                            std::function<void(absl::Status)> callback)
+{
+    Entry &entry = entries_[group];
+    if (!owns(group))
+        return callback(absl::FailedPreconditionError("not the owner"));
+    if (entry.writing)
+        return callback(absl::UnavailableError("another change of the row is under way"));
+    OwnershipRecord record = entry.record;
+    change(record);
+    if (isAlone(group))
+        record.guardedUntil = Duration(0);
+    const OwnerEpoch epoch = entry.record.epoch;
+    write(group, record, entry.etag, true,
+          [this, group, record, epoch, callback = std::move(callback)](absl::Status written) {
+              Entry &entry = entries_[group];
+              if (!owns(group) || entry.record.epoch != epoch)
+                  return callback(absl::FailedPreconditionError("ownership was lost"));
+              if (written.ok())
+                  entry.record = record;
+              else
+                  renewOne(group);
+              callback(written);
+          });
+}
+
+void OwnershipTable::handOver(const GroupName &group, const ProcessId &to,
+                              std::function<void(absl::Status)> callback)
+{
+    Entry &entry = entries_[group];
+    if (!owns(group) || entry.writing)
+        return callback(absl::UnavailableError("not the owner, or a change is under way"));
+    OwnershipRecord record = entry.record;
+    record.epoch += 1;
+    record.owner = to;
+    write(group, record, entry.etag, true,
+          [this, group, record, callback = std::move(callback)](absl::Status written) {
+              if (written.ok())
+                  applyRecord(group, record, entries_[group].etag);
+              callback(written);
+          });
+}
+
+// Leases
+
+void OwnershipTable::renew()
+{
+    for (const GroupName &group : owned())
+        renewOne(group);
+}
+
+void OwnershipTable::renewOne(const GroupName &group)
+{
+    const Instant sent = parts_.timers.now();
+    const OwnerEpoch epoch = entries_[group].record.epoch;
+    parts_.table.read(table, group, [this, group, epoch, sent](auto row) {
+        if (!row.ok()) {
+            parts_.log.info("lease_unread")
+                .with("group", group)
+                .with("left_ms", leaseLeft(group))
+                .with("cause", row.status().message());
+            return;
+        }
+        Entry &entry = entries_[group];
+        const auto record = *row ? decodeOwnership((*row)->value) : absl::NotFoundError("no row");
+        if (!record.ok())
+            return;
+        if (record->owner != parts_.self || record->epoch != epoch)
+            return apply(**row);
+        if (entry.record.epoch != epoch)
+            return;
+        entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
+        if (!entry.writing)
+            entry.etag = (*row)->etag;
+    });
+}
+
+void OwnershipTable::askPredecessors()
+{
+    asking_ = false;
+    const Instant now = parts_.timers.now();
+    for (auto &[group, entry] : entries_) {
+        if (!entry.predecessor || !owns(group))
+            continue;
+        if (now >= entry.predecessorUntil) {
+            forgetPredecessor(group, entry, "lease_over");
+            continue;
+        }
+        asking_ = true;
+        const ProcessId process = *entry.predecessor;
+        static_cast<void>(parts_.links.sendTo(
+            process.address, inner::OwnershipEndRequest {group, entry.predecessorEpoch}));
+        parts_.probe(process.address, [this, group = group, process](bool refused) {
+            Entry &entry = entries_[group];
+            if (refused && entry.predecessor == process)
+                forgetPredecessor(group, entry, "nothing_listens");
+        });
+    }
+    if (asking_)
+        parts_.timers.subscribeAfter(predecessorPeriod, [this] { askPredecessors(); });
+}
+
+void OwnershipTable::forgetPredecessor(const GroupName &group, Entry &entry,
+                                       const std::string &proof)
+{
+    parts_.log.info("predecessor_ended", proof)
+        .with("group", group)
+        .with("process", entry.predecessor->address);
+    entry.predecessor.reset();
+}
+
+void OwnershipTable::onPeerUp(const ProcessId &process)
+{
+    for (auto &[group, entry] : entries_) {
+        if (!entry.known)
+            continue;
+        if (entry.predecessor && entry.predecessor->address == process.address
+            && entry.predecessor->incarnation != process.incarnation)
+            forgetPredecessor(group, entry, "restarted");
+    }
+}
+
+void OwnershipTable::onEnded(const std::string &address, const inner::OwnershipEnded &ended)
+{
+    const auto found = entries_.find(ended.group);
+    if (found == entries_.end() || !found->second.predecessor)
+        return;
+    Entry &entry = found->second;
+    if (entry.predecessor->address == address && entry.predecessorEpoch <= ended.epoch)
+        forgetPredecessor(ended.group, entry, "said_so");
+}
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/ownership.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/timerservice.h"
+#include "inner/peerlink.h"
+#include "services/tablefollower.h"
+#include "session/router.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace kelptally::group {
+
+// The row of one group in the table service.
+struct OwnershipRecord
+{
+    OwnerEpoch epoch = 0;
+    ProcessId owner;
+    // The primary and its term when it was last changed or first seen; a primary of a lower term is
+    // a replaced one.
+    ServerName primary;
+    Term term = 0;
+    // Named before the platform is told to promote it; it may lead at any moment from then on.
+    ServerName candidate;
+    // Until then, by the service's clock, owners before this one may still act.
+    Duration guardedUntil {0};
+};
+
+std::string encodeOwnership(const OwnershipRecord &record);
+absl::StatusOr<OwnershipRecord> decodeOwnership(const std::string &text);
+
+// What the table tells of groups.
+class OwnershipEvents
+{
+public:
+    virtual ~OwnershipEvents() = default;
+
+    // Another owner, or none, is known now.
+    virtual void onOwnerChanged(const GroupName &group) = 0;
+    // This process owns the group from now on, or not any more.
+    virtual void onAcquired(const GroupName &group) = 0;
+    virtual void onLost(const GroupName &group) = 0;
+};
+
+// The owners of all groups, by rows in the table service that change under conditions only.
+//
+// A claim takes the row at any time: two owners that send statements to the same primary break no
+// promise. An owner acts only while it has seen its row unchanged within the lease, counted from
+// the sending of the question. A new owner changes the primary only when owners before it have
+// ended: their leases have run out since its claim, or they are proven dead, or they say so.
+class OwnershipTable : public session::OwnerSource
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        services::TableService &table;
+        services::TableFeed &feed;
+        inner::PeerLinks &links;
+        EventLog &log;
+        ProcessId self;
+        ZoneName zone;
+        // Whether nothing listens at a process's address.
+        std::function<void(const std::string &address, std::function<void(bool refused)>)> probe;
+        // Zone of the group's primary, as far as known.
+        std::function<ZoneName(const GroupName &)> primaryZone;
+    };
+
+    OwnershipTable(const Parts &parts, OwnershipEvents &events);
+
+    void start();
+    // The rows have been read once.
+    bool isReady() const { return follower_.isRead(); }
+    // This process claims nothing from now on.
+    void stopClaiming() { claiming_ = false; }
+
+    std::optional<session::OwnerRef> owner(const GroupName &group) const override;
+    void wantOwner(const GroupName &group) override;
+    void suspectOwner(const GroupName &group, const session::OwnerRef &owner,
+                      const std::string &why) override;
+    void refreshOwner(const GroupName &group) override;
+
+    bool owns(const GroupName &group) const;
+    std::vector<GroupName> owned() const;
+    const OwnershipRecord *record(const GroupName &group) const;
+    // Statements may be sent, and their answers believed.
+    bool leaseHolds(const GroupName &group) const;
+    Duration leaseLeft(const GroupName &group) const;
+    // No owner before this one can act any more, so that the primary may be changed.
+    bool isAlone(const GroupName &group) const;
+
+    using Change = std::function<void(OwnershipRecord &)>;
+    // Changes the own row; Ok once the change is in it, and nothing else may be assumed before.
+    void change(const GroupName &group, const Change &change,
+                std::function<void(absl::Status)> callback);
+    // Names another process the owner. Ok once it is.
+    void handOver(const GroupName &group, const ProcessId &to,
+                  std::function<void(absl::Status)> callback);
+
+    // Another run of the process at the address, or the same, was heard.
+    void onPeerUp(const ProcessId &process);
+    void onEnded(const std::string &address, const inner::OwnershipEnded &ended);
+
+private:
+    struct Entry
+    {
+        OwnershipRecord record;
+        std::string etag;
+        bool known = false;
+        // A claim or a change of the own row is under way.
+        bool writing = false;
+        bool claimPlanned = false;
+        Instant leaseUntil {};
+        // The owner before this process, until it is known to have ended.
+        std::optional<ProcessId> predecessor;
+        OwnerEpoch predecessorEpoch = 0;
+        Instant predecessorUntil {};
+        // Owners before the predecessor.
+        Instant guardedUntil {};
+    };
+
+    void onRead();
+    void apply(const services::TableRow &row);
+    void applyRecord(const GroupName &group, const OwnershipRecord &record,
+                     const std::string &etag);
+    void planClaim(const GroupName &group, const std::string &why, Duration delay);
+    Duration claimDelay(const GroupName &group) const;
+    void claim(const GroupName &group, OwnerEpoch seen, const std::string &why);
+    void writeClaim(const GroupName &group, const std::optional<services::TableRow> &row,
+                    const std::string &why);
+    void write(const GroupName &group, const OwnershipRecord &record, const std::string &etag,
+               bool exists, std::function<void(absl::Status)> callback);
+    void readBack(const GroupName &group, const OwnershipRecord &wanted, int triesLeft,
+                  std::function<void(absl::Status)> callback);
+    void acquire(const GroupName &group, const OwnershipRecord &record, const std::string &etag,
+                 const OwnershipRecord &before, Duration serviceTime);
+    void renew();
+    void renewOne(const GroupName &group);
+    void askPredecessors();
+    void forgetPredecessor(const GroupName &group, Entry &entry, const std::string &proof);
+
+    const Parts parts_;
+    OwnershipEvents &events_;
+    std::map<GroupName, Entry> entries_;
+    std::set<GroupName> wanted_;
+    bool claiming_ = true;
+    bool asking_ = false;
+    services::TableFollower follower_;
+};
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/primarykeeper.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/tcpprobe.h"
+#include "group/groupserver.h"
+#include "group/ownership.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace kelptally::group {
+
+using GroupServers = std::map<ServerName, std::unique_ptr<GroupServer>>;
+
+// What the owner's statements need to know of changes of the primary.
+class PrimaryEvents
+{
+public:
+    virtual ~PrimaryEvents() = default;
+
+    // The server leads; everything acknowledged from now on is in its log.
+    virtual void onPrimary(const ServerName &server) = 0;
+    // Nothing may be expected of the server any more: what it has not answered is lost.
+    virtual void onPrimaryLost(const ServerName &server) = 0;
+    // A planned change is about to take effect: writes wait, or go on.
+    virtual void onWritesHeld(bool held) = 0;
+};
+
+// Finds the primary of a group that this process owns, watches it, and replaces it when it is lost
+// or leaves.
+class PrimaryKeeper
+{
+public:
+    using Prober = std::function<void(const std::string &endpoint, Duration timeout,
+                                      std::function<void(ProbeOutcome)> callback)>;
+
+    struct Parts
+    {
+        TimerService &timers;
+        OwnershipTable &ownership;
+        PromotionService &promotions;
+        EventLog &log;
+        Metrics &metrics;
+        Prober probe;
+    };
+
+    PrimaryKeeper(const Parts &parts, const GroupName &group, GroupServers &servers,
+                  PrimaryEvents &events);
+    ~PrimaryKeeper();
+
+    // This process owns the group from now on, or not any more.
+    void start();
+    void stop();
+
+    // The server that leads, while statements may be sent to it; empty while there is none.
+    const ServerName &primary() const { return primary_; }
+
+    // A connection to the server ended or could not be opened.
+    void onTrouble(const ServerName &server, ConnectOutcome outcome);
+    // The server refused a write.
+    void onReadOnly(const ServerName &server);
+    // The list of servers has changed.
+    void onServersChanged();
+    // The primary acknowledged a commit at this position.
+    void onAcknowledged(Position position);
+
+private:
+    enum class Step {
+        Stopped,
+        Looking,
+        Leading,
+        // Replicas are told to receive nothing more from the old primary.
+        StoppingReplicas,
+        // The candidate is being written into the row.
+        Recording,
+        Calling,
+        AwaitingLead,
+    };
+
+    void tick();
+    void look();
+    void onLookReport(const ServerName &server, const ServerReport &report);
+    bool listedPrimaryMayAnswer(Instant now) const;
+    void lead(const ServerName &server, Term term);
+    void watchPrimary(Instant now);
+    void probePrimary(GroupServer &server);
+    void onProbed(const ServerName &server, ProbeOutcome outcome);
+    bool heardOthers(Instant now);
+    void loseLead(const std::string &why);
+
+    void beginChange(const std::string &why, bool planned);
+    void stopReplicas(Instant now);
+    void onStopped(const ServerName &server, const ServerReport &report, Instant asked);
+    void chooseCandidate(Instant now);
+    bool othersHaveStopped() const;
+    void cancelChange(const std::string &why);
+    void recordCandidate();
+    void call();
+    void awaitLead(Instant now);
+    void onCandidateReport(const ServerReport &report);
+    void demoteOthers();
+    void ask(GroupServer &server, CommandKind kind, Term term, Duration timeout,
+             std::function<void(const ServerReport &)> callback);
+    void noteTerm(Term term) { highestTerm_ = std::max(highestTerm_, term); }
+    GroupServer *find(const ServerName &id);
+    void enter(Step step);
+    Duration inStep(Instant now) const { return now - stepSince_; }
+
+    const Parts parts_;
+    const GroupName group_;
+    GroupServers &servers_;
+    PrimaryEvents &events_;
+    Step step_ = Step::Stopped;
+    Instant stepSince_ {};
+    ServerName primary_;
+    // Term of the primary, and the highest that any server has shown.
+    Term term_ = 0;
+    Term highestTerm_ = 0;
+    // Every acknowledgement since the owner before this one has passed here, and the primary's log
+    // was seen after that.
+    bool knowsAll_ = false;
+    Instant aloneSince_ {};
+    std::optional<Position> acknowledged_;
+    // The change under way.
+    bool planned_ = false;
+    bool held_ = false;
+    Term stopTerm_ = 0;
+    std::map<ServerName, ServerReport> stopped_;
+    std::set<ServerName> excluded_;
+    ServerName oldPrimary_;
+    ServerName candidate_;
+    // When the replicas other than the candidate had all stopped, in a planned change.
+    Instant othersStoppedAt_ {};
+    Instant calledAt_ {};
+    Instant askedAt_ {};
+    Instant looseSince_ {};
+    bool probing_ = false;
+    Instant probedAt_ {};
+    Instant acceptedAt_ {};
+    // Servers that must learn of the new primary.
+    std::set<ServerName> toSettle_;
+    TimerId timer_ = 0;
+    // Counts steps, so that late answers are told apart.
+    std::uint64_t change_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/host/hostprocess.cpp
@@ -0,0 +1,246 @@
+#include "host/hostprocess.h"
+
+#include <prometheus/gauge.h>
+
+#include <random>
+
+namespace kelptally::host {
+
+namespace {
+
+// A balancer asks once a second and takes a process out after two misses: until then new callers
+// still come.
+constexpr Duration balancerNotices = std::chrono::milliseconds(2300);
+constexpr Duration drainStepPeriod = std::chrono::milliseconds(50);
+// Idle sessions closed in one step, so that their callers don't all come back in one instant.
+constexpr std::size_t closedPerStep = 20;
+// Left of the grace when the process ends in any case.
+constexpr Duration leftAtEnd = std::chrono::milliseconds(700);
+
+ProcessId drawIdentity(const std::string &address)
+{
+    // Later runs draw higher numbers as long as the time of day does not jump back by more than a
+    // restart takes; the random part tells apart runs of the same microsecond.
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+    return {address, static_cast<Incarnation>(micros)};
+}
+
+} // namespace
+
+HostProcess::HostProcess(const settings::HostSettings &settings, const Ports &ports)
+    : settings_(settings), ports_(ports), self_(drawIdentity(settings.peerAddress())),
+      serverList_(ports.thread.timers(), ports.log,
+                  [this](const GroupName &group, const std::vector<group::ListedServer> &servers) {
+                      for (const group::ListedServer &server : servers)
+                          if (server.primary)
+                              primaryZones_[group] = server.zone;
+                      groups_->setServers(group, servers);
+                      wantGroups();
+                  })
+{ }
+
+HostProcess::~HostProcess() = default;
+
+absl::Status HostProcess::start(CallerConnections &callers)
+{
+    callers_ = &callers;
+    inner::PeerLinkOptions options;
+    options.listenAddress = settings_.peerAddress();
+    options.self = self_;
+    options.host = settings_.host;
+    options.zone = settings_.zone;
+    options.peerKey = settings_.peerKey;
+    options.configVersion = [this] { return catalogue_.version(); };
+    options.metrics = &ports_.metrics;
+    options.thread = &ports_.thread;
+    auto links = inner::makePeerLinks(options, *this);
+    if (!links.ok())
+        return links.status();
+    links_ = *std::move(links);
+    TimerService &timers = ports_.thread.timers();
+    const auto probe = [this](const std::string &endpoint, Duration timeout,
+                              std::function<void(ProbeOutcome)> callback) {
+        probeTcp(ports_.thread.context(), ports_.thread.timers(), endpoint, timeout,
+                 std::move(callback));
+    };
+    groups_ = std::make_unique<group::GroupHost>(group::GroupHost::Parts {
+        timers, *links_, ports_.table, ports_.feed, ports_.connector, ports_.promotions, ports_.log,
+        ports_.metrics, probe, self_, settings_.zone,
+        [this](const GroupName &group) { router_->onOwnerChanged(group); }});
+    router_ = std::make_unique<session::Router>(session::Router::Parts {
+        timers, *links_, groups_->ownership(), *groups_, ports_.log, ports_.metrics, self_});
+    groups_->start();
+    return absl::OkStatus();
+}
+
+void HostProcess::onCatalogue(session::CataloguePtr catalogue)
+{
+    const ConfigVersion before = catalogue_.version();
+    const ConfigVersion version = catalogue->version;
+    if (!catalogue_.install(std::move(catalogue)))
+        return;
+    ports_.log.info("configuration_in_force")
+        .with("version", version)
+        .with("before", before)
+        .with("routes", std::uint64_t(catalogue_.get()->routes.size()));
+    groups_->setOptions(catalogue_.get()->groups);
+    wantGroups();
+}
+
+// A group whose primary is near gets its owner before the first statement asks for one.
+void HostProcess::wantGroups()
+{
+    if (catalogue_.get() == nullptr || draining_)
+        return;
+    for (const auto &[group, options] : catalogue_.get()->groups) {
+        const auto zone = primaryZones_.find(group);
+        if (zone != primaryZones_.end() && zone->second == settings_.zone)
+            groups_->ownership().wantOwner(group);
+    }
+}
+
+std::shared_ptr<session::CallerSession> HostProcess::openSession(const std::string &database,
+                                                                 session::SessionOutput &output)
+{
+    if (catalogue_.route(database) == nullptr)
+        return nullptr;
+    const session::CallerSession::Parts parts {*router_, catalogue_, ports_.thread.timers(),
+                                               ports_.log, ports_.metrics};
+    return std::make_shared<session::CallerSession>(parts, ++lastSession_, database, output);
+}
+
+std::string HostProcess::notReady() const
+{
+    if (draining_)
+        return "draining";
+    if (catalogue_.get() == nullptr)
+        return "no configuration yet";
+    if (!groups_->ownership().isReady())
+        return "the owners of groups are not known yet";
+    if (serverList_.isEmpty())
+        return "no server is known yet";
+    return std::string();
+}
+
+// Stopping
+
+void HostProcess::drain(std::function<void()> whenDone)
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    drainBegan_ = ports_.thread.timers().now();
+    whenDrained_ = std::move(whenDone);
+    ports_.log.info("drain").with("sessions", std::uint64_t(callers_->count()));
+    drainStep();
+}
+
+void HostProcess::drainStep()
+{
+    const Duration passed = ports_.thread.timers().now() - drainBegan_;
+    // 1. Groups go to others at once; callers go on coming until the balancer has noticed.
+    groups_->handOverAll(peers_);
+    // 2. Then sessions end between operations.
+    if (passed >= balancerNotices) {
+        callers_->stopAccepting();
+        callers_->closeIdle(closedPerStep);
+    }
+    // 3. The end: nothing is left, or the grace nearly is.
+    const bool empty = passed >= balancerNotices && callers_->count() == 0 && groups_->isQuiet()
+        && router_->inProgress() == 0;
+    if (!empty && passed < settings_.grace - leftAtEnd) {
+        ports_.thread.timers().subscribeAfter(drainStepPeriod, [this] { drainStep(); });
+        return;
+    }
+    ports_.log.info("drained")
+        .with("took_ms", passed)
+        .with("sessions_left", std::uint64_t(callers_->count()));
+    whenDrained_();
+}
+
+void HostProcess::collect()
+{
+    Metrics &metrics = ports_.metrics;
+    metrics.gauge("kelptally_sessions", "Callers' sessions that are open")
+        .Set(double(callers_->count()));
+    metrics.gauge("kelptally_statements_in_progress", "Statements of this entry without an answer")
+        .Set(double(router_->inProgress()));
+    metrics.gauge("kelptally_statements_queued", "Statements that wait in groups owned here")
+        .Set(double(groups_->queued()));
+    metrics.gauge("kelptally_groups_owned", "Groups that this process owns")
+        .Set(double(groups_->ownership().owned().size()));
+    metrics.gauge("kelptally_configuration_version", "Version of the configuration in force")
+        .Set(double(catalogue_.version()));
+    metrics.gauge("kelptally_log_lines_dropped", "Log lines dropped because nobody read them")
+        .Set(double(ports_.log.dropped()));
+    metrics.gauge("kelptally_log_lines_left_out", "Log lines left out by the limit of their event")
+        .Set(double(ports_.log.leftOut()));
+}
+
+// Peers
+
+void HostProcess::onPeerUp(inner::LinkId link, const inner::Hello &peer)
+{
+    linkAddresses_[link] = peer.process.address;
+    peers_[peer.process.address] = peer;
+    ports_.log.info("peer_up").with("peer", peer.process.address).with("host", peer.host);
+    groups_->ownership().onPeerUp(peer.process);
+    router_->onPeerUp(peer.process.address);
+}
+
+void HostProcess::onPeerMessage(inner::LinkId link, inner::Message message)
+{
+    const auto address = linkAddresses_.find(link);
+    if (address != linkAddresses_.end())
+        router_->onHeard(address->second);
+    std::visit([this, link](auto &fields) { handle(link, fields); }, message);
+}
+
+void HostProcess::onPeerDown(inner::LinkId link, const std::string &address,
+                             const absl::Status &why)
+{
+    ports_.log.info("peer_down").with("peer", address).with("cause", why.message());
+    linkAddresses_.erase(link);
+    bool linked = false;
+    for (const auto &[id, other] : linkAddresses_)
+        linked = linked || other == address;
+    if (!linked)
+        peers_.erase(address);
+    groups_->onPeerDown(link);
+    router_->onPeerDown(address);
+}
+
+void HostProcess::handle(inner::LinkId link, inner::RunStatement &message)
+{
+    groups_->onStatement(link, std::move(message));
+}
+
+void HostProcess::handle(inner::LinkId, inner::StatementDone &message)
+{
+    router_->onDone(std::move(message));
+}
+
+void HostProcess::handle(inner::LinkId link, inner::EndTransaction &message)
+{
+    groups_->endTransaction(link, message.group, message.session);
+}
+
+void HostProcess::handle(inner::LinkId link, inner::AliveRequest &message)
+{
+    static_cast<void>(links_->sendOn(link, inner::AliveAnswer {message.sequence}));
+}
+
+void HostProcess::handle(inner::LinkId link, inner::OwnershipEndRequest &message)
+{
+    groups_->onEndRequest(link, message);
+}
+
+void HostProcess::handle(inner::LinkId link, inner::OwnershipEnded &message)
+{
+    const auto address = linkAddresses_.find(link);
+    if (address != linkAddresses_.end())
+        groups_->ownership().onEnded(address->second, message);
+}
+
+} // namespace kelptally::host
--- /dev/null
+++ b/src/host/hostprocess.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/dutythread.h"
+#include "group/grouphost.h"
+#include "group/serverlist.h"
+#include "inner/websocketlinks.h"
+#include "session/callersession.h"
+#include "session/router.h"
+#include "settings/hostsettings.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace kelptally::host {
+
+// What the process asks of whatever accepts callers' connections.
+class CallerConnections
+{
+public:
+    virtual ~CallerConnections() = default;
+
+    virtual void stopAccepting() = 0;
+    // Closes the sessions that have neither a statement nor a transaction open, at most so many.
+    virtual void closeIdle(std::size_t most) = 0;
+    virtual std::size_t count() const = 0;
+};
+
+// Entry and owner in one process, on one thread: callers' sessions, the groups that it owns, and
+// the links to the other processes. Everything is called on the duty thread, or before it starts.
+class HostProcess : public inner::PeerEvents
+{
+public:
+    struct Ports
+    {
+        DutyThread &thread;
+        services::TableService &table;
+        services::TableFeed &feed;
+        group::ServerConnector &connector;
+        group::PromotionService &promotions;
+        EventLog &log;
+        Metrics &metrics;
+    };
+
+    HostProcess(const settings::HostSettings &settings, const Ports &ports);
+    ~HostProcess() override;
+
+    // Fails when the links cannot listen.
+    absl::Status start(CallerConnections &callers);
+
+    // A configuration was read; older ones are ignored.
+    void onCatalogue(session::CataloguePtr catalogue);
+    group::ServerList &servers() { return serverList_; }
+
+    // Null when the configuration has no such database.
+    std::shared_ptr<session::CallerSession> openSession(const std::string &database,
+                                                        session::SessionOutput &output);
+    // Whether anything is known yet, so that unknown databases can be told from early callers.
+    bool knowsCatalogue() const { return catalogue_.get() != nullptr; }
+
+    // Empty when the balancer should send callers here, else why not.
+    std::string notReady() const;
+
+    // Graceful stop: calls back when nothing is left, or the grace is nearly over.
+    void drain(std::function<void()> whenDone);
+
+    // Brings gauges up to date before the metrics are read.
+    void collect();
+
+    // PeerEvents
+    void onPeerUp(inner::LinkId link, const inner::Hello &peer) override;
+    void onPeerMessage(inner::LinkId link, inner::Message message) override;
+    void onPeerDown(inner::LinkId link, const std::string &address,
+                    const absl::Status &why) override;
+
+private:
+    void handle(inner::LinkId link, inner::RunStatement &message);
+    void handle(inner::LinkId link, inner::StatementDone &message);
+    void handle(inner::LinkId link, inner::EndTransaction &message);
+    void handle(inner::LinkId link, inner::AliveRequest &message);
+    void handle(inner::LinkId link, inner::OwnershipEndRequest &message);
+    void handle(inner::LinkId link, inner::OwnershipEnded &message);
+    template <typename Other>
+    void handle(inner::LinkId, Other &)
+    { }
+
+    void wantGroups();
+    void noteReadiness();
+    void drainStep();
+
+    const settings::HostSettings settings_;
+    const Ports ports_;
+    const ProcessId self_;
+    std::unique_ptr<inner::PeerLinks> links_;
+    session::CurrentCatalogue catalogue_;
+    group::ServerList serverList_;
+    std::unique_ptr<group::GroupHost> groups_;
+    std::unique_ptr<session::Router> router_;
+    CallerConnections *callers_ = nullptr;
+    std::map<inner::LinkId, std::string> linkAddresses_;
+    // Processes that a link is up with.
+    std::map<std::string, inner::Hello> peers_;
+    std::map<GroupName, ZoneName> primaryZones_;
+    std::uint64_t lastSession_ = 0;
+    bool draining_ = false;
+    bool lastReady_ = false;
+    Instant drainBegan_ {};
+    std::function<void()> whenDrained_;
+};
+
+} // namespace kelptally::host
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -20,6 +20,8 @@
 constexpr std::size_t maxRows = 1u << 18;
 constexpr std::size_t maxGroups = 8192;
 constexpr std::size_t maxServers = 64;
+// Names and values of one session.
+constexpr std::size_t maxSessionTexts = 512;
 
 template <typename Archive, typename M>
 void layout(Archive &archive, M &m, const Hello &)
@@ -235,4 +237,73 @@
     archive.records(m.groups, maxGroups);
 }
 
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const RunStatement &)
+{
+    archive.number(m.requestId);
+    archive.text(m.group, maxNameBytes);
+    archive.number(m.session);
+    archive.choice(m.verb, SessionVerb::Commit);
+    archive.flag(m.inTransaction);
+    archive.choice(m.begins, TransactionMode::ReadOnly);
+    archive.text(m.statementId, maxTextBytes);
+    archive.text(m.text, maxSqlBytes);
+    archive.text(m.preparedShape, maxTextBytes);
+    archive.text(m.arguments, maxSqlBytes);
+    archive.texts(m.values, maxSessionTexts, maxTextBytes);
+    archive.choice(m.rule, ReadRule::OwnWrites);
+    archive.duration(m.maxAge);
+    archive.record(m.sessionPosition);
+    archive.duration(m.timeLeft);
+    archive.duration(m.objective);
+    archive.number(m.priority);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const StatementDone &)
+{
+    archive.number(m.requestId);
+    archive.reason(m.reason);
+    archive.choice(m.executed, Executed::Unknown);
+    archive.text(m.detail, maxTextBytes);
+    archive.texts(m.rows, maxRows, maxSqlBytes);
+    archive.text(m.signature, maxTextBytes);
+    archive.record(m.position);
+    archive.duration(m.retryAfter);
+    archive.number(m.ownerEpoch);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const EndTransaction &)
+{
+    archive.text(m.group, maxNameBytes);
+    archive.number(m.session);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const AliveRequest &)
+{
+    archive.number(m.sequence);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const AliveAnswer &)
+{
+    archive.number(m.sequence);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const OwnershipEndRequest &)
+{
+    archive.text(m.group, maxNameBytes);
+    archive.number(m.epoch);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const OwnershipEnded &)
+{
+    archive.text(m.group, maxNameBytes);
+    archive.number(m.epoch);
+}
+
 } // namespace kelptally::inner
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -240,8 +240,112 @@
     std::vector<GroupStatus> groups;
 };
 
-using Message = std::variant<Hello, Execute, ExecuteResult, Cancel, Heartbeat, HeartbeatAnswer,
-                             Locate, LocateAnswer, HandOver, ConfigNotice, ConfigRequest,
-                             ConfigAnswer, OperatorRequest, OperatorAnswer>;
+// What a read must see of the work that was acknowledged before it began.
+enum class ReadRule {
+    // Every acknowledged commit.
+    Newest,
+    // Every commit that was acknowledged longer ago than the stated age.
+    Bounded,
+    // As Bounded, and every commit of the caller's own session.
+    OwnWrites,
+};
+
+enum class TransactionMode {
+    None,
+    ReadWrite,
+    ReadOnly,
+};
+
+// What a session's statement does at the server.
+enum class SessionVerb {
+    Read,
+    Write,
+    Commit,
+};
+
+// One statement of a caller's session, on its way from an entry to the owner of the group. Text and
+// id go to the server as the caller wrote them.
+struct RunStatement
+{
+    RequestId requestId = 0;
+    GroupName group;
+    // Number of the session at its entry; with the entry's link it names an open transaction.
+    std::uint64_t session = 0;
+    SessionVerb verb = SessionVerb::Read;
+    // The statement is part of an open transaction, or begins it when `begins` is set.
+    bool inTransaction = false;
+    TransactionMode begins = TransactionMode::None;
+    std::string statementId;
+    std::string text;
+    // Of a statement that executes a prepared one: its shape and what follows the name.
+    std::string preparedShape;
+    std::string arguments;
+    // The session's values: name and value by turns, ordered by name.
+    std::vector<std::string> values;
+    ReadRule rule = ReadRule::Newest;
+    Duration maxAge {0};
+    std::optional<Position> sessionPosition;
+    // Longest time that the statement may take, from the moment the message was sent.
+    Duration timeLeft {0};
+    // Time within which the route's operator wants operations answered.
+    Duration objective {0};
+    // 0 is the most urgent.
+    int priority = 0;
+};
+
+// The outcome of one RunStatement.
+struct StatementDone
+{
+    RequestId requestId = 0;
+    Reason reason = Reason::None;
+    Executed executed = Executed::No;
+    std::string detail;
+    std::vector<std::string> rows;
+    // The server's signature of its answer.
+    std::string signature;
+    // Position of the server's log after a write or commit of the session.
+    std::optional<Position> position;
+    Duration retryAfter {0};
+    // Newest ownership that the asked process knows of, when it is not the owner.
+    OwnerEpoch ownerEpoch = 0;
+};
+
+// Rolls back what the session has open, if anything. There is no answer.
+struct EndTransaction
+{
+    GroupName group;
+    std::uint64_t session = 0;
+};
+
+// Asks a process that owes answers whether it still runs; answered at once.
+struct AliveRequest
+{
+    std::uint64_t sequence = 0;
+};
+
+struct AliveAnswer
+{
+    std::uint64_t sequence = 0;
+};
+
+// Asks an earlier owner whether it has stopped acting for the group.
+struct OwnershipEndRequest
+{
+    GroupName group;
+    OwnerEpoch epoch = 0;
+};
+
+// The sender acts for the group under no epoch up to this one any more, and never will again.
+struct OwnershipEnded
+{
+    GroupName group;
+    OwnerEpoch epoch = 0;
+};
+
+using Message =
+    std::variant<Hello, Execute, ExecuteResult, Cancel, Heartbeat, HeartbeatAnswer, Locate,
+                 LocateAnswer, HandOver, ConfigNotice, ConfigRequest, ConfigAnswer, OperatorRequest,
+                 OperatorAnswer, RunStatement, StatementDone, EndTransaction, AliveRequest,
+                 AliveAnswer, OwnershipEndRequest, OwnershipEnded>;
 
 } // namespace kelptally::inner
--- a/src/inner/websocketlinks.cpp
+++ b/src/inner/websocketlinks.cpp
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <glog/logging.h>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -64,7 +65,8 @@
 
     const PeerLinkOptions options_;
     PeerEvents &events_;
-    DutyThread thread_ {"peers"};
+    std::optional<DutyThread> ownThread_;
+    DutyThread &thread_;
     Server server_;
     Client client_;
     Inbox<Outgoing> outbox_;
@@ -86,6 +88,7 @@
 
 WebsocketLinks::WebsocketLinks(const PeerLinkOptions &options, PeerEvents &events)
     : options_(options), events_(events),
+      thread_(options.thread != nullptr ? *options.thread : ownThread_.emplace("peers")),
       outbox_(thread_, options.sendRing, [this](Outgoing &&item) { onOutgoing(std::move(item)); }),
       refusals_(options.metrics)
 {
@@ -108,7 +111,8 @@
 // Flushes and closes every link, then ends the thread.
 WebsocketLinks::~WebsocketLinks()
 {
-    if (!started_)
+    // On a thread of others, which has stopped by now, nothing can be flushed any more.
+    if (!started_ || !ownThread_)
         return;
     boost::asio::post(thread_.context(), [this] {
         stopping_ = true;
@@ -147,7 +151,8 @@
         return absl::UnavailableError("can't listen on " + options_.listenAddress + ": "
                                       + failed.message());
     thread_.timers().subscribeEvery(lookPeriod, [this] { lookAtLinks(); });
-    thread_.start();
+    if (ownThread_)
+        ownThread_->start();
     started_ = true;
     return absl::OkStatus();
 }
--- a/src/inner/websocketlinks.h
+++ b/src/inner/websocketlinks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/dutythread.h"
 #include "core/metrics.h"
 #include "inner/peerlink.h"
 
@@ -38,13 +39,16 @@
     Duration handshakeTimeout {std::chrono::seconds(2)};
     // A link on which nothing at all is heard for this long is given up.
     Duration silenceTimeout {std::chrono::milliseconds(1800)};
+    // Runs the links when given, so that no message changes threads; it is started and stopped by
+    // its owner and outlives the links. Without it the links start a thread "peers".
+    DutyThread *thread = nullptr;
     // Counts links and refusals when given; outlives the links.
     Metrics *metrics = nullptr;
 };
 
-// Links over websocketpp, on a thread of their own ("peers"). The events must outlive the result;
-// the destructor flushes what waits to be sent for up to half a second and then closes. Fails when
-// the address can't be listened on or the key is empty.
+// Links over websocketpp, on the given thread or one of their own ("peers"). The events must
+// outlive the result; the destructor flushes what waits to be sent for up to half a second and then
+// closes. Fails when the address can't be listened on or the key is empty.
 absl::StatusOr<std::unique_ptr<PeerLinks>> makePeerLinks(const PeerLinkOptions &options,
                                                          PeerEvents &events);
 
--- a/src/owner/ownerports.h
+++ b/src/owner/ownerports.h
@@ -3,7 +3,7 @@
 #include "backend/backendserver.h"
 #include "core/timerservice.h"
 #include "inner/peerlink.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 #include "settings/inventory.h"
 
 #include <functional>
@@ -22,7 +22,7 @@
 {
     TimerService &timers;
     inner::PeerLinks &links;
-    platform::TableService &table;
+    services::TableService &table;
     ServerFactory makeServer;
     OwnerMetrics &metrics;
     // This process, its host and its availability zone.
--- a/src/owner/ownerprocess.cpp
+++ b/src/owner/ownerprocess.cpp
@@ -2,7 +2,7 @@
 
 #include "backend/postgresserver.h"
 #include "inner/websocketlinks.h"
-#include "platform/httpservices.h"
+#include "services/httpservices.h"
 
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
@@ -50,8 +50,8 @@
     if (!links.ok())
         return links.status();
     links_ = std::move(*links);
-    table_ = platform::makeTableService(groups_, settings_.tableService, settings_.storeTimeout);
-    hosts_ = platform::makeHostList(groups_, settings_.hostList, settings_.storeTimeout);
+    table_ = services::makeTableService(groups_, settings_.tableService, settings_.storeTimeout);
+    hosts_ = services::makeHostList(groups_, settings_.hostList, settings_.storeTimeout);
     if (adminPeers_)
         adminPeers_->setLinks(links_.get());
     startGroups();
@@ -106,14 +106,14 @@
     if (fetchingHosts_)
         return;
     fetchingHosts_ = true;
-    hosts_->fetch([this](absl::StatusOr<std::vector<platform::ListedHost>> listed) {
+    hosts_->fetch([this](absl::StatusOr<std::vector<services::ListedHost>> listed) {
         fetchingHosts_ = false;
         if (!listed.ok())
             return;
         std::vector<HostName> live;
         std::vector<HostName> leaving;
-        for (const platform::ListedHost &host : *listed)
-            (host.state == platform::HostState::Live ? live : leaving).push_back(host.name);
+        for (const services::ListedHost &host : *listed)
+            (host.state == services::HostState::Live ? live : leaving).push_back(host.name);
         directory_->onHostList(live, leaving);
     });
 }
--- a/src/owner/ownerprocess.h
+++ b/src/owner/ownerprocess.h
@@ -55,8 +55,8 @@
     PeerInbox inbox_;
     std::unique_ptr<inner::PeerLinks> links_;
     // Used and destroyed on the groups thread, or while it does not run.
-    std::unique_ptr<platform::TableService> table_;
-    std::unique_ptr<platform::HostList> hosts_;
+    std::unique_ptr<services::TableService> table_;
+    std::unique_ptr<services::HostList> hosts_;
     std::unique_ptr<OwnerPorts> ports_;
     std::unique_ptr<GroupDirectory> directory_;
     admin::AdminPeers *adminPeers_ = nullptr;
--- a/src/owner/ownershipdriver.cpp
+++ b/src/owner/ownershipdriver.cpp
@@ -1,7 +1,7 @@
 #include "owner/ownershipdriver.h"
 
 #include "core/logging.h"
-#include "platform/ownershiprow.h"
+#include "services/ownershiprow.h"
 
 #include <glog/logging.h>
 
@@ -120,7 +120,7 @@
 void OwnershipDriver::carryOut(const decision::ReadRow &)
 {
     std::weak_ptr<bool> alive = alive_;
-    ports_.table.read(platform::ownershipTable, group_, [this, alive](auto read) {
+    ports_.table.read(services::ownershipTable, group_, [this, alive](auto read) {
         if (!alive.expired())
             onRead(read);
     });
@@ -128,10 +128,10 @@
 
 void OwnershipDriver::carryOut(const decision::WriteRow &action)
 {
-    platform::ConditionalWrite write;
-    write.table = platform::ownershipTable;
+    services::ConditionalWrite write;
+    write.table = services::ownershipTable;
     write.key = group_;
-    write.value = platform::encodeOwnershipRow(action.row);
+    write.value = services::encodeOwnershipRow(action.row);
     write.expectedEtag = action.expectedEtag;
     LOG(INFO) << "event=ownership_write group=" << group_ << " epoch=" << action.row.epoch
               << " owner=" << action.row.owner.address
@@ -170,7 +170,7 @@
     ports_.links.sendTo(action.to.address, inner::HandOver {group_, action.epoch}).IgnoreError();
 }
 
-void OwnershipDriver::onRead(const absl::StatusOr<std::optional<platform::TableRow>> &read)
+void OwnershipDriver::onRead(const absl::StatusOr<std::optional<services::TableRow>> &read)
 {
     if (!read.ok()) {
         carryOut(ownership_.onRowReadFailed(now()));
@@ -180,7 +180,7 @@
         carryOut(ownership_.onRow(now(), std::nullopt));
         return;
     }
-    const auto row = platform::decodeOwnershipRow((*read)->value);
+    const auto row = services::decodeOwnershipRow((*read)->value);
     if (!row.ok()) {
         LOG(ERROR) << "event=ownership_row_unreadable group=" << group_
                    << " cause=" << logValue(std::string(row.status().message()));
--- a/src/owner/ownershipdriver.h
+++ b/src/owner/ownershipdriver.h
@@ -56,7 +56,7 @@
     void carryOut(const decision::StartServing &action);
     void carryOut(const decision::StopServing &action);
     void carryOut(const decision::SendHandOver &action);
-    void onRead(const absl::StatusOr<std::optional<platform::TableRow>> &read);
+    void onRead(const absl::StatusOr<std::optional<services::TableRow>> &read);
     void onWritten(const decision::OwnershipRow &row,
                    const absl::StatusOr<std::vector<std::string>> &tags);
     Instant now() const { return ports_.timers.now(); }
--- a/src/platform/configrows.cpp
+++ b/src/services/configrows.cpp
@@ -1,9 +1,9 @@
-#include "platform/configrows.h"
+#include "services/configrows.h"
 
-#include "platform/jsonobject.h"
+#include "services/jsonobject.h"
 #include "settings/inidocument.h"
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 namespace {
 
@@ -88,4 +88,4 @@
     return row;
 }
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/configrows.h
+++ b/src/services/configrows.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 // Table of the accepted configuration versions: the row "newest", and for each version one with
 // its document and a small one without.
@@ -44,4 +44,4 @@
 absl::StatusOr<NewestConfigRow> decodeNewestConfigRow(const std::string &text);
 absl::StatusOr<ConfigVersionRow> decodeConfigVersionRow(const std::string &text);
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpclient.h"
+#include "services/httpclient.h"
 
 #include "settings/sectionreader.h"
 
@@ -14,7 +14,7 @@
 #include <optional>
 #include <vector>
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 namespace {
 
@@ -78,8 +78,9 @@
                                       static_cast<std::uint16_t>(endpoint->port));
     }
 
-    void send(HttpRequest request, HttpCallback callback);
+    void send(HttpRequest request, Duration timeout, HttpCallback callback);
     void close();
+    Duration timeout() const { return timeout_; }
 
 private:
     class Connection;
@@ -144,6 +145,10 @@
         request_.set(http::field::if_match, "\"" + job_->request.etag + "\"");
     if (job_->request.condition == HttpCondition::Absent)
         request_.set(http::field::if_none_match, "*");
+    if (!job_->request.body.empty())
+        request_.set(http::field::content_type, "application/json");
+    for (const HttpField &field : job_->request.fields)
+        request_.set(field.name, field.value);
     request_.body() = job_->request.body;
     request_.prepare_payload();
     if (connected_)
@@ -227,6 +232,9 @@
 void HttpClient::Pool::Connection::close()
 {
     Error ignored;
+    // With a call open, what it has not delivered yet must not arrive later.
+    if (job_)
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
 }
 
@@ -237,7 +245,7 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void HttpClient::Pool::send(HttpRequest request, HttpCallback callback)
+void HttpClient::Pool::send(HttpRequest request, Duration timeout, HttpCallback callback)
 {
     auto job = std::make_shared<Job>();
     job->request = std::move(request);
@@ -251,7 +259,7 @@
         });
         return;
     }
-    job->timer = timers_.subscribeAfter(timeout_, [weak, job] {
+    job->timer = timers_.subscribeAfter(timeout, [weak, job] {
         if (const auto pool = weak.lock())
             pool->expire(job);
     });
@@ -359,7 +367,12 @@
 
 void HttpClient::send(HttpRequest request, HttpCallback callback)
 {
-    pool_->send(std::move(request), std::move(callback));
+    pool_->send(std::move(request), pool_->timeout(), std::move(callback));
+}
+
+void HttpClient::send(HttpRequest request, Duration timeout, HttpCallback callback)
+{
+    pool_->send(std::move(request), timeout, std::move(callback));
 }
 
 std::string percentEncoded(const std::string &text)
@@ -380,4 +393,4 @@
     return encoded;
 }
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/httpclient.h
+++ b/src/services/httpclient.h
@@ -8,8 +8,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 enum class HttpMethod {
     Get,
@@ -26,6 +27,12 @@
     Absent,
 };
 
+struct HttpField
+{
+    std::string name;
+    std::string value;
+};
+
 struct HttpRequest
 {
     HttpMethod method = HttpMethod::Get;
@@ -35,6 +42,8 @@
     HttpCondition condition = HttpCondition::None;
     // Without its quotes.
     std::string etag;
+    // Header fields besides the usual ones.
+    std::vector<HttpField> fields;
 };
 
 struct HttpResponse
@@ -53,7 +62,8 @@
 //
 // Errors: Unavailable when nothing of the request left this process; DeadlineExceeded when it was
 // sent and no answer came in time; Unknown when the connection broke after it was sent. A GET that
-// breaks on a connection used before is sent once more, anything else never.
+// breaks on a connection used before is sent once more, anything else never. A call that is given
+// up resets its connection, so that a request still on its way cannot arrive later.
 class HttpClient
 {
 public:
@@ -64,6 +74,8 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     void send(HttpRequest request, HttpCallback callback);
+    // The same with another timeout.
+    void send(HttpRequest request, Duration timeout, HttpCallback callback);
 
 private:
     class Pool;
@@ -73,4 +85,4 @@
 // Percent-encodes one segment of a path or one value of a query (RFC 3986).
 std::string percentEncoded(const std::string &text);
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/httpservices.cpp
+++ b/src/services/httpservices.cpp
@@ -1,9 +1,9 @@
-#include "platform/httpservices.h"
+#include "services/httpservices.h"
 
-#include "platform/httpclient.h"
-#include "platform/jsonobject.h"
+#include "services/httpclient.h"
+#include "services/jsonobject.h"
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 namespace {
 
@@ -326,4 +326,4 @@
     return std::make_unique<HttpHostList>(thread, address, timeout);
 }
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/httpservices.h
+++ b/src/services/httpservices.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/dutythread.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 
 #include <memory>
 #include <string>
@@ -9,7 +9,7 @@
 // The platform's services over HTTP/1.1 with JSON, as docs/STANDIN.md publishes the protocol. Each
 // is made, used and destroyed on the given duty thread, or while that does not run. The address is
 // "ip:port"; the timeout bounds each call as a whole.
-namespace kelptally::platform {
+namespace kelptally::services {
 
 std::unique_ptr<TableService> makeTableService(DutyThread &thread, const std::string &address,
                                                Duration timeout);
@@ -18,4 +18,4 @@
 std::unique_ptr<HostList> makeHostList(DutyThread &thread, const std::string &address,
                                        Duration timeout);
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/jsonobject.h
+++ b/src/services/jsonobject.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 // Reads the members of one JSON object with their types and bounds. The first one that is missing,
 // of another type or too large makes the whole invalid; what is given for it then is empty.
@@ -81,4 +81,4 @@
     return nlohmann::json::parse(text, nullptr, false);
 }
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/ownershiprow.cpp
+++ b/src/services/ownershiprow.cpp
@@ -1,8 +1,8 @@
-#include "platform/ownershiprow.h"
+#include "services/ownershiprow.h"
 
-#include "platform/jsonobject.h"
+#include "services/jsonobject.h"
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 namespace {
 
@@ -59,4 +59,4 @@
     return row;
 }
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/src/platform/ownershiprow.h
+++ b/src/services/ownershiprow.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 // Table of the ownership rows; a row's key is its group's name.
 constexpr char ownershipTable[] = "ownership";
@@ -21,4 +21,4 @@
 // that a newer build may add some.
 absl::StatusOr<decision::OwnershipRow> decodeOwnershipRow(const std::string &text);
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- /dev/null
+++ b/src/services/tablefollower.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/timerservice.h"
+#include "services/tableservice.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace kelptally::services {
+
+// Keeps up with one table: a snapshot, then its changes, and a snapshot again when the history is
+// gone or, now and then, in case the feed hears nothing.
+class TableFollower
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        TableFeed &feed;
+        EventLog &log;
+    };
+
+    struct Handlers
+    {
+        // A row that is new or has changed.
+        std::function<void(const TableRow &)> onRow;
+        std::function<void(const std::string &key)> onRemoved;
+        // After each snapshot.
+        std::function<void()> onRead;
+    };
+
+    // Without a check period only the feed is followed.
+    TableFollower(const Parts &parts, std::string table, Duration checkPeriod, Handlers handlers);
+    ~TableFollower();
+
+    void start();
+    // Whether the whole table has been read once.
+    bool isRead() const { return read_; }
+    // Reads the table now.
+    void check();
+
+private:
+    void onSnapshot(const TableSnapshot &snapshot);
+    void follow();
+    void onChanges(const absl::StatusOr<TableChanges> &changes);
+    void apply(const TableRow &row);
+    void remove(const std::string &key);
+    void note(const absl::Status &status);
+
+    const Parts parts_;
+    const std::string table_;
+    const Duration checkPeriod_;
+    const Handlers handlers_;
+    // Version of each row as last seen.
+    std::map<std::string, std::string> versions_;
+    std::uint64_t next_ = 0;
+    bool read_ = false;
+    bool following_ = false;
+    bool checking_ = false;
+    bool reachable_ = true;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace kelptally::services
--- a/src/platform/tableservice.h
+++ b/src/services/tableservice.h
@@ -1,14 +1,17 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 // The ports to the platform: table service, object store and host list.
-namespace kelptally::platform {
+namespace kelptally::services {
 
 // A row with the tag that conditional writes name.
 struct TableRow
@@ -16,6 +19,8 @@
     std::string key;
     std::string value;
     std::string etag;
+    // The service's own steady clock when it answered, where it tells it.
+    std::optional<Duration> serviceTime = std::nullopt;
 };
 
 // One conditional write. Without an expected tag the row must not exist yet.
@@ -48,6 +53,44 @@
     virtual void write(std::vector<ConditionalWrite> writes, WriteCallback callback) = 0;
 };
 
+// A row that changed, or that is gone.
+struct RowChange
+{
+    TableRow row;
+    bool removed = false;
+};
+
+// Changes of one table after a place in its history.
+struct TableChanges
+{
+    std::vector<RowChange> changes;
+    // Where the next call goes on.
+    std::uint64_t next = 0;
+};
+
+// All rows of one table as of one moment, and where its changes go on from there.
+struct TableSnapshot
+{
+    std::vector<TableRow> rows;
+    std::uint64_t next = 0;
+};
+
+using ChangesCallback = std::function<void(absl::StatusOr<TableChanges>)>;
+using SnapshotCallback = std::function<void(absl::StatusOr<TableSnapshot>)>;
+
+// The changes of a table service, where it tells them. Callbacks as for TableService.
+class TableFeed
+{
+public:
+    virtual ~TableFeed() = default;
+
+    virtual void snapshot(const std::string &table, SnapshotCallback callback) = 0;
+    // Answers with the first change, or without any after the wait. OutOfRange: the history after
+    // this place is gone, take a snapshot.
+    virtual void changes(const std::string &table, std::uint64_t after, Duration wait,
+                         ChangesCallback callback) = 0;
+};
+
 // The platform's object store, for snapshots.
 class ObjectStore
 {
@@ -84,4 +127,4 @@
     virtual void fetch(HostsCallback callback) = 0;
 };
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- /dev/null
+++ b/src/session/callersession.cpp
@@ -0,0 +1,258 @@
+#include "session/callersession.h"
+
+namespace kelptally::session {
+
+namespace {
+
+// A caller keeps at most so many values and prepared statements, so that one session cannot fill
+// the process. Chosen, not measured; the message of a statement carries at most 256 values.
+constexpr std::size_t maxValues = 256;
+constexpr std::size_t maxPrepared = 1024;
+
+} // namespace
+
+CallerSession::CallerSession(const Parts &parts, std::uint64_t number, std::string database,
+                             SessionOutput &output)
+    : parts_(parts), number_(number), database_(std::move(database)), output_(&output)
+{ }
+
+void CallerSession::run(Statement statement)
+{
+    answering_ = true;
+    parts_.timers.cancel(idleTimer_);
+    // 1. A failed transaction takes nothing but its end.
+    if (state_ == SessionState::Failed)
+        return endFailed(statement);
+    // 2. What needs no server is answered here.
+    switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        return begin(statement);
+    case StatementKind::Rollback:
+        rollBack();
+        return answer({});
+    case StatementKind::SetValue:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+        return runHere(statement);
+    default:
+        break;
+    }
+    // 3. Outside a transaction each statement follows the route in force.
+    if (state_ == SessionState::Idle) {
+        const Route *route = parts_.catalogue.route(database_);
+        if (route == nullptr)
+            return fail(Reason::UnknownGroup, Executed::No, "the database has no route any more");
+        if (statement.kind == StatementKind::Commit)
+            return fail(Reason::MalformedRequest, Executed::No, "there is no transaction");
+        route_ = *route;
+    }
+    // 4. The rest goes to the owner.
+    if (statement.kind == StatementKind::Commit)
+        return send(std::move(statement), inner::SessionVerb::Commit, nullptr);
+    if (statement.kind != StatementKind::ExecutePrepared) {
+        const bool reads = statement.kind == StatementKind::Read;
+        return send(std::move(statement),
+                    reads ? inner::SessionVerb::Read : inner::SessionVerb::Write, nullptr);
+    }
+    const auto prepared = prepared_.find(statement.name);
+    if (prepared == prepared_.end())
+        return fail(Reason::MalformedRequest, Executed::No, "no such prepared statement");
+    send(std::move(statement),
+         prepared->second.writes ? inner::SessionVerb::Write : inner::SessionVerb::Read,
+         &prepared->second);
+}
+
+void CallerSession::refuse(Reason reason, const std::string &detail)
+{
+    answering_ = true;
+    fail(reason, Executed::No, detail);
+}
+
+void CallerSession::begin(const Statement &statement)
+{
+    if (state_ == SessionState::InTransaction)
+        return fail(Reason::MalformedRequest, Executed::No, "a transaction is open");
+    const Route *route = parts_.catalogue.route(database_);
+    if (route == nullptr)
+        return fail(Reason::UnknownGroup, Executed::No, "the database has no route any more");
+    route_ = *route;
+    mode_ = statement.kind == StatementKind::Begin ? inner::TransactionMode::ReadWrite
+                                                   : inner::TransactionMode::ReadOnly;
+    opened_ = false;
+    state_ = SessionState::InTransaction;
+    answer({});
+}
+
+// Nothing of a failed transaction is kept, so a commit is refused and anything else that ends it is
+// done.
+void CallerSession::endFailed(const Statement &statement)
+{
+    if (statement.kind == StatementKind::Rollback) {
+        leaveTransaction(SessionState::Idle);
+        return answer({});
+    }
+    if (statement.kind == StatementKind::Commit) {
+        leaveTransaction(SessionState::Idle);
+        return fail(Reason::TransactionEnded, Executed::No, "the transaction had failed");
+    }
+    fail(Reason::MalformedRequest, Executed::No, "the transaction has failed; end it first");
+}
+
+void CallerSession::rollBack()
+{
+    if (opened_)
+        parts_.router.endTransaction(route_.group, number_);
+    leaveTransaction(SessionState::Idle);
+}
+
+void CallerSession::leaveTransaction(SessionState state)
+{
+    state_ = state;
+    opened_ = false;
+    mode_ = inner::TransactionMode::None;
+}
+
+void CallerSession::runHere(const Statement &statement)
+{
+    switch (statement.kind) {
+    case StatementKind::SetValue:
+        if (values_.size() >= maxValues && values_.count(statement.name) == 0)
+            return fail(Reason::RequestTooLarge, Executed::No, "too many values in one session");
+        values_[statement.name] = statement.argument;
+        break;
+    case StatementKind::Prepare:
+        if (prepared_.size() >= maxPrepared && prepared_.count(statement.name) == 0)
+            return fail(Reason::RequestTooLarge, Executed::No, "too many prepared statements");
+        prepared_[statement.name] = {statement.writes, statement.argument};
+        break;
+    default:
+        prepared_.erase(statement.name);
+        break;
+    }
+    answer({});
+}
+
+void CallerSession::send(Statement statement, inner::SessionVerb verb, const Prepared *prepared)
+{
+    inner::RunStatement message;
+    message.group = route_.group;
+    message.session = number_;
+    message.verb = verb;
+    message.inTransaction = state_ == SessionState::InTransaction;
+    if (message.inTransaction && !opened_)
+        message.begins = mode_;
+    message.statementId = statement.id;
+    if (prepared != nullptr) {
+        message.preparedShape = prepared->shape;
+        message.arguments = std::move(statement.argument);
+    } else {
+        message.text = std::move(statement.text);
+    }
+    for (const auto &[name, value] : values_) {
+        message.values.push_back(name);
+        message.values.push_back(value);
+    }
+    message.rule = route_.rule;
+    message.maxAge = route_.maxAge;
+    message.sessionPosition = position_;
+    message.timeLeft = route_.statementTimeout;
+    message.objective = route_.objective;
+    message.priority = route_.priority;
+    opened_ = opened_ || message.inTransaction;
+    request_ = parts_.router.run(
+        std::move(message),
+        [self = shared_from_this(), verb, id = std::move(statement.id)](inner::StatementDone done) {
+            self->onDone(verb, id, std::move(done));
+        });
+}
+
+void CallerSession::onDone(inner::SessionVerb verb, const std::string &id,
+                           inner::StatementDone done)
+{
+    request_ = 0;
+    if (output_ == nullptr)
+        return;
+    const bool ok = done.reason == Reason::None;
+    if (state_ == SessionState::InTransaction) {
+        if (verb == inner::SessionVerb::Commit)
+            leaveTransaction(SessionState::Idle);
+        else if (!ok)
+            leaveTransaction(SessionState::Failed);
+    }
+    if (ok && verb != inner::SessionVerb::Read && done.position
+        && (!position_ || *position_ < *done.position))
+        position_ = done.position;
+    if (!ok)
+        parts_.log.info("statement_refused", reasonInfo(done.reason).name)
+            .with("id", id)
+            .with("session", number_)
+            .with("group", route_.group)
+            .with("executed", executedName(done.executed))
+            .with("detail", done.detail)
+            .with("retry_after_ms", done.retryAfter);
+    Answer result;
+    result.reason = done.reason;
+    result.executed = done.executed;
+    result.detail = std::move(done.detail);
+    result.rows = std::move(done.rows);
+    result.signature = std::move(done.signature);
+    result.position = done.position;
+    result.retryAfter = done.retryAfter;
+    answer(std::move(result));
+}
+
+void CallerSession::fail(Reason reason, Executed executed, const std::string &detail,
+                         Duration retryAfter)
+{
+    Answer refused;
+    refused.reason = reason;
+    refused.executed = executed;
+    refused.detail = detail;
+    refused.retryAfter = retryAfter;
+    answer(std::move(refused));
+}
+
+void CallerSession::answer(Answer answer)
+{
+    answering_ = false;
+    if (output_ == nullptr)
+        return;
+    if (answer.reason != Reason::None)
+        parts_.metrics.countRefusal(answer.reason);
+    if (state_ == SessionState::InTransaction)
+        watchIdle();
+    output_->answer(answer, state_);
+}
+
+// A caller that rests inside a transaction holds a server connection that others need.
+void CallerSession::watchIdle()
+{
+    const Catalogue *catalogue = parts_.catalogue.get();
+    if (catalogue == nullptr || catalogue->transactionIdle == Duration(0))
+        return;
+    const std::weak_ptr<CallerSession> weak = weak_from_this();
+    idleTimer_ = parts_.timers.subscribeAfter(catalogue->transactionIdle, [weak] {
+        const auto self = weak.lock();
+        if (!self || self->answering_ || self->state_ != SessionState::InTransaction)
+            return;
+        if (self->opened_)
+            self->parts_.router.endTransaction(self->route_.group, self->number_);
+        self->leaveTransaction(SessionState::Failed);
+        self->parts_.log.info("transaction_idle").with("session", self->number_);
+    });
+}
+
+void CallerSession::onCallerGone()
+{
+    output_ = nullptr;
+    parts_.timers.cancel(idleTimer_);
+    if (request_ != 0)
+        parts_.router.cancel(request_);
+    request_ = 0;
+    if (opened_ && state_ == SessionState::InTransaction)
+        parts_.router.endTransaction(route_.group, number_);
+    state_ = SessionState::Idle;
+}
+
+} // namespace kelptally::session
--- /dev/null
+++ b/src/session/router.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/timerservice.h"
+#include "inner/peerlink.h"
+#include "session/callersession.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace kelptally::session {
+
+// Who acts for a group.
+struct OwnerRef
+{
+    OwnerEpoch epoch = 0;
+    ProcessId process;
+};
+
+// What the router asks about owners.
+class OwnerSource
+{
+public:
+    virtual ~OwnerSource() = default;
+
+    virtual std::optional<OwnerRef> owner(const GroupName &group) const = 0;
+    // Nobody acts for the group: somebody has to.
+    virtual void wantOwner(const GroupName &group) = 0;
+    // The owner does not answer any more.
+    virtual void suspectOwner(const GroupName &group, const OwnerRef &owner,
+                              const std::string &why) = 0;
+    // The process that was thought the owner says that it is not.
+    virtual void refreshOwner(const GroupName &group) = 0;
+};
+
+// Runs statements of groups that this process owns. The origin tells the entries apart: their link,
+// or 0 for this process.
+class StatementExecutor
+{
+public:
+    virtual ~StatementExecutor() = default;
+
+    // Calls back exactly once; may do so from within the call.
+    virtual void run(inner::LinkId origin, inner::RunStatement statement,
+                     DoneCallback callback) = 0;
+    virtual void endTransaction(inner::LinkId origin, const GroupName &group,
+                                std::uint64_t session) = 0;
+};
+
+// Takes statements to owners and their answers back. Statements that may be repeated go to the next
+// owner when theirs is gone; others get their final answer at once.
+class Router : public StatementRouter
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        inner::PeerLinks &links;
+        OwnerSource &owners;
+        StatementExecutor &local;
+        EventLog &log;
+        Metrics &metrics;
+        ProcessId self;
+    };
+
+    explicit Router(const Parts &parts);
+
+    inner::RequestId run(inner::RunStatement statement, DoneCallback callback) override;
+    void cancel(inner::RequestId id) override;
+    void endTransaction(const GroupName &group, std::uint64_t session) override;
+
+    void onDone(inner::StatementDone done);
+    // Anything at all was heard from the process.
+    void onHeard(const std::string &address);
+    void onPeerUp(const std::string &address);
+    void onPeerDown(const std::string &address);
+    void onOwnerChanged(const GroupName &group);
+
+    std::size_t inProgress() const { return pending_.size(); }
+
+private:
+    struct Pending
+    {
+        inner::RunStatement statement;
+        DoneCallback callback;
+        Instant deadline;
+        Instant sentAt;
+        // Where it was sent; empty while it waits.
+        std::string address;
+        OwnerEpoch epoch = 0;
+        int attempts = 0;
+    };
+    struct Peer
+    {
+        Instant lastHeard;
+        Instant lastAsked;
+        bool silent = false;
+        bool dialled = false;
+        // Statements wait for it, so that its silence matters.
+        bool needed = false;
+        // Statements that it owes an answer.
+        int open = 0;
+    };
+
+    void place(inner::RequestId id);
+    bool sendTo(inner::RequestId id, Pending &pending, const OwnerRef &owner);
+    void runHere(inner::RequestId id, Pending &pending);
+    void waitFor(inner::RequestId id, Pending &pending);
+    void placeWaiting();
+    void finish(inner::RequestId id, inner::StatementDone done);
+    void refuse(inner::RequestId id, Reason reason, Executed executed, const std::string &detail,
+                Duration retryAfter = {});
+    void leavePeer(Pending &pending);
+    // The answers of everything sent to the process will not come.
+    void onPeerLost(const std::string &address, const std::string &why);
+    void onAnswerLost(inner::RequestId id, const std::string &why);
+    void tick();
+    void watch(const std::string &address, Peer &peer, Instant now);
+    // Its silence counts from now, if it did not matter before.
+    void need(Peer &peer, Instant now);
+
+    const Parts parts_;
+    std::unordered_map<inner::RequestId, Pending> pending_;
+    std::vector<inner::RequestId> waiting_;
+    std::unordered_map<std::string, Peer> peers_;
+    // Where the open transaction of a session is; empty for this process.
+    std::unordered_map<std::uint64_t, std::string> transactions_;
+    inner::RequestId lastId_ = 0;
+    std::uint64_t askSequence_ = 0;
+    bool ticking_ = false;
+    Instant lastTick_;
+};
+
+} // namespace kelptally::session
--- /dev/null
+++ b/src/settings/hostsettings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types.h"
+#include "settings/findings.h"
+#include "settings/sectionreader.h"
+
+#include <string>
+
+namespace kelptally::settings {
+
+// Settings of a process that is entry and owner in one: the INI file that is given at start and
+// read again when it changes.
+struct HostSettings
+{
+    // [process]
+    HostName host;
+    ZoneName zone;
+    // IP of this host, for the links between our processes.
+    std::string address;
+    int peerPort = 0;
+    // Where callers connect, where the balancer asks for readiness, and the port for operators on
+    // the same address.
+    Endpoint callers;
+    Endpoint readiness;
+    int adminPort = 0;
+    int maxSessions = 3500;
+    // From the request to stop until the process is killed.
+    Duration grace {std::chrono::seconds(6)};
+
+    // [platform]
+    std::string store;
+    std::string promotions;
+    Duration storeTimeout {std::chrono::seconds(2)};
+
+    // [keys] shared by our processes
+    std::string peerKey;
+
+    // [log]
+    std::string logLevel = "info";
+    int logLinesPerSecond = 5;
+
+    std::string peerAddress() const { return address + ":" + std::to_string(peerPort); }
+};
+
+HostSettings parseHostSettings(const std::string &file, const std::string &text,
+                               Findings &findings);
+
+} // namespace kelptally::settings
--- a/src/settings/processsettings.cpp
+++ b/src/settings/processsettings.cpp
@@ -1,8 +1,6 @@
 #include "settings/processsettings.h"
 
-#include "settings/sectionreader.h"
-
-#include <algorithm>
+#include "settings/sectionparts.h"
 
 namespace kelptally::settings {
 
@@ -89,62 +87,17 @@
         reader.duration("request-read-timeout", readTimeoutRange, settings.requestReadTimeout);
 }
 
-// One section that the file may or must have.
-struct Part
-{
-    const char *type;
-    bool required;
-    void (*read)(SectionReader &, ProcessSettings &);
-};
-
-constexpr Part parts[] = {
+constexpr SectionPart<ProcessSettings> parts[] = {
     {"process", true, readProcess}, {"platform", true, readPlatform}, {"keys", true, readKeys},
     {"tls", false, readTls},        {"peers", false, readPeers},      {"limits", false, readLimits},
 };
 
-const Part *findPart(const IniSection &section)
-{
-    for (const Part &part : parts)
-        if (section.title() == part.type)
-            return &part;
-    return nullptr;
-}
-
-void readSection(const std::string &file, const IniSection &section, Findings &findings,
-                 ProcessSettings &settings)
-{
-    // A broken section has its finding already.
-    if (section.type.empty())
-        return;
-    const Part *part = findPart(section);
-    if (!part) {
-        findings.add(file, section.line, section.title(),
-                     "unknown section; allowed are process, platform, keys, tls, peers and limits");
-        return;
-    }
-    SectionReader reader(file, section, findings);
-    part->read(reader, settings);
-    reader.finish();
-}
-
 } // namespace
 
 ProcessSettings parseProcessSettings(const std::string &file, const std::string &text,
                                      Findings &findings)
 {
-    ProcessSettings settings;
-    const auto sections = parseIni(file, text, findings);
-    for (const auto &section : sections)
-        readSection(file, section, findings, settings);
-    for (const Part &part : parts) {
-        const bool found =
-            std::any_of(sections.begin(), sections.end(),
-                        [&](const IniSection &section) { return section.title() == part.type; });
-        if (part.required && !found)
-            findings.add(file, 0, part.type, "the section is required");
-    }
-    findings.sort();
-    return settings;
+    return readParts(file, text, parts, findings);
 }
 
 } // namespace kelptally::settings
--- /dev/null
+++ b/src/settings/sectionparts.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "settings/sectionreader.h"
+
+#include <algorithm>
+#include <string>
+
+namespace kelptally::settings {
+
+// One section that a settings file may or must have, and the function that reads it.
+template <typename Settings>
+struct SectionPart
+{
+    const char *type;
+    bool required;
+    void (*read)(SectionReader &, Settings &);
+};
+
+// Reads a file whose sections are the given parts. Unknown and missing sections are findings.
+template <typename Settings, std::size_t Count>
+Settings readParts(const std::string &file, const std::string &text,
+                   const SectionPart<Settings> (&parts)[Count], Findings &findings)
+{
+    Settings settings;
+    const auto sections = parseIni(file, text, findings);
+    for (const IniSection &section : sections) {
+        // A broken section has its finding already.
+        if (section.type.empty())
+            continue;
+        const auto part = std::find_if(std::begin(parts), std::end(parts), [&](const auto &each) {
+            return section.title() == each.type;
+        });
+        if (part == std::end(parts)) {
+            std::string allowed;
+            for (const auto &each : parts)
+                allowed += std::string(allowed.empty() ? "" : ", ") + each.type;
+            findings.add(file, section.line, section.title(),
+                         "unknown section; allowed are " + allowed);
+            continue;
+        }
+        SectionReader reader(file, section, findings);
+        part->read(reader, settings);
+        reader.finish();
+    }
+    for (const auto &part : parts) {
+        const bool found =
+            std::any_of(sections.begin(), sections.end(),
+                        [&](const IniSection &section) { return section.title() == part.type; });
+        if (part.required && !found)
+            findings.add(file, 0, part.type, "the section is required");
+    }
+    findings.sort();
+    return settings;
+}
+
+} // namespace kelptally::settings
--- a/src/standin/platformsettings.cpp
+++ b/src/standin/platformsettings.cpp
@@ -23,12 +23,12 @@
 
 void readHost(const std::string &name, SectionReader &reader, PlatformSettings &result)
 {
-    platform::ListedHost host;
+    services::ListedHost host;
     host.name = name;
     host.address = reader.address("address");
     host.zone = reader.name("zone");
     if (reader.choice("state", {"live", "leaving"}, 0) == 1)
-        host.state = platform::HostState::Leaving;
+        host.state = services::HostState::Leaving;
     result.hosts.push_back(std::move(host));
 }
 
--- a/src/standin/platformsettings.h
+++ b/src/standin/platformsettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 #include "settings/findings.h"
 
 #include <optional>
@@ -18,7 +18,7 @@
     // Until a change of the host list shows.
     Duration hostLag {0};
     // The host list at start.
-    std::vector<platform::ListedHost> hosts;
+    std::vector<services::ListedHost> hosts;
 };
 
 // Reads the sections [platform] and [host NAME] of the INI document described in docs/STANDIN.md
--- a/src/standin/platformstandin.cpp
+++ b/src/standin/platformstandin.cpp
@@ -160,7 +160,7 @@
     return server_->port();
 }
 
-void PlatformStandin::setHosts(std::vector<platform::ListedHost> hosts, Duration lag)
+void PlatformStandin::setHosts(std::vector<services::ListedHost> hosts, Duration lag)
 {
     server_->state->setHostLag(lag);
     server_->state->setHosts(BootClock::now(), std::move(hosts));
--- a/src/standin/platformstandin.h
+++ b/src/standin/platformstandin.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/dutythread.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 
 #include <memory>
 #include <vector>
@@ -22,7 +22,7 @@
     int port() const;
 
     // The list at start, and the lag of later changes. Called before the thread runs.
-    void setHosts(std::vector<platform::ListedHost> hosts, Duration lag);
+    void setHosts(std::vector<services::ListedHost> hosts, Duration lag);
 
 private:
     class Server;
--- a/src/standin/platformstate.cpp
+++ b/src/standin/platformstate.cpp
@@ -110,12 +110,12 @@
     return writes;
 }
 
-std::optional<std::vector<platform::ListedHost>> parseHosts(const std::string &body)
+std::optional<std::vector<services::ListedHost>> parseHosts(const std::string &body)
 {
     const Json json = Json::parse(body, nullptr, false);
     if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array())
         return std::nullopt;
-    std::vector<platform::ListedHost> hosts;
+    std::vector<services::ListedHost> hosts;
     for (const Json &item : json["hosts"]) {
         const auto name = textMember(item, "name");
         const auto address = textMember(item, "address");
@@ -125,7 +125,7 @@
             return std::nullopt;
         hosts.push_back(
             {*name, *address, *zone,
-             state == "live" ? platform::HostState::Live : platform::HostState::Leaving});
+             state == "live" ? services::HostState::Live : services::HostState::Leaving});
     }
     return hosts;
 }
@@ -261,7 +261,7 @@
                 {{"name", host.name},
                  {"address", host.address},
                  {"zone", host.zone},
-                 {"state", host.state == platform::HostState::Live ? "live" : "leaving"}});
+                 {"state", host.state == services::HostState::Live ? "live" : "leaving"}});
     return success({{"hosts", hosts}});
 }
 
@@ -274,7 +274,7 @@
     return success(Json::object());
 }
 
-void PlatformState::setHosts(Instant visibleFrom, std::vector<platform::ListedHost> hosts)
+void PlatformState::setHosts(Instant visibleFrom, std::vector<services::ListedHost> hosts)
 {
     // A change with a shorter lag does not overtake an earlier one.
     if (!hosts_.empty())
--- a/src/standin/platformstate.h
+++ b/src/standin/platformstate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "platform/tableservice.h"
+#include "services/tableservice.h"
 
 #include <array>
 #include <cstdint>
@@ -78,7 +78,7 @@
 
     // Of changes from now on.
     void setHostLag(Duration lag) { hostLag_ = lag; }
-    void setHosts(Instant visibleFrom, std::vector<platform::ListedHost> hosts);
+    void setHosts(Instant visibleFrom, std::vector<services::ListedHost> hosts);
 
 private:
     struct Item
@@ -89,7 +89,7 @@
     struct HostsVersion
     {
         Instant visibleFrom;
-        std::vector<platform::ListedHost> hosts;
+        std::vector<services::ListedHost> hosts;
     };
     using Items = std::map<std::string, Item>;
 
--- a/tests/admin/platformconfigstore_test.cpp
+++ b/tests/admin/platformconfigstore_test.cpp
@@ -4,7 +4,7 @@
 
 using namespace kelptally;
 using namespace kelptally::admin;
-using namespace kelptally::platform;
+using namespace kelptally::services;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/platform/httpservices_test.cpp
+++ b/tests/services/httpservices_test.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 
 using namespace kelptally;
-using namespace kelptally::platform;
+using namespace kelptally::services;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/platform/platformfixture.h
+++ b/tests/services/platformfixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/dutythread.h"
-#include "platform/httpclient.h"
-#include "platform/httpservices.h"
+#include "services/httpclient.h"
+#include "services/httpservices.h"
 #include "standin/platformstandin.h"
 
 #include <catch2/catch.hpp>
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace kelptally::platform {
+namespace kelptally::services {
 
 // The stand-in of the platform on its own thread, and clients of it on another.
 class PlatformFixture
@@ -115,4 +115,4 @@
     std::unique_ptr<HostList> hosts;
 };
 
-} // namespace kelptally::platform
+} // namespace kelptally::services
--- a/tests/platform/rows_test.cpp
+++ b/tests/services/rows_test.cpp
@@ -1,11 +1,11 @@
-#include "platform/configrows.h"
-#include "platform/ownershiprow.h"
+#include "services/configrows.h"
+#include "services/ownershiprow.h"
 #include "settings/inidocument.h"
 
 #include <catch2/catch.hpp>
 
 using namespace kelptally;
-using namespace kelptally::platform;
+using namespace kelptally::services;
 
 TEST_CASE("an ownership row survives its JSON")
 {
