Try lagging replicas again; hold statements no longer than serves anyone

Statements waited to their deadline, so all were late and their callers gave up. A reset link alone led to a claim. Change: a replica that has shown nothing for 60 ms is tried, with a growing pause after refusals; waiting is bounded to twice the objective; leaving servers take no reads while another server stays; after a lost link the owner is claimed only if nothing listens there.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -13,6 +13,7 @@
 // Pauses before the same statement is tried again after a server refused it as busy or behind.
 constexpr Duration busyPause = std::chrono::milliseconds(8);
 constexpr Duration behindPause = std::chrono::milliseconds(10);
+constexpr Duration longestBehindPause = std::chrono::milliseconds(160);
 constexpr Duration readOnlyPause = std::chrono::milliseconds(20);
 // What a caller is told to wait when a group has no primary, or is full.
 constexpr Duration primaryHint = std::chrono::milliseconds(400);
@@ -20,7 +21,14 @@
 // A replica is guessed to hold a position this long after the primary showed it, on top of twice
 // its lag.
 constexpr Duration guessMargin = std::chrono::milliseconds(5);
-// A read whose server says nothing at all for this long runs again elsewhere.
+// A replica that has shown nothing for this long is tried all the same: the refusal of one that is
+// behind costs no slot, and its lag may be over.
+constexpr Duration knowledgeAge = std::chrono::milliseconds(60);
+// How long a statement may wait for a server: twice its route's objective, within these bounds.
+// Longer waits end late, are given up by their callers, and keep others from being in time.
+constexpr Duration leastHold = std::chrono::milliseconds(300);
+constexpr Duration longestHold = std::chrono::milliseconds(1000);
+// What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
 
 bool isRead(const inner::RunStatement &statement)
@@ -204,9 +212,11 @@
     if (queue_.size() >= maxQueued && !continuesTransaction(job->statement))
         return refuse(job, Reason::QueueFull, Executed::No, "the queue of the group is full",
                       retryHint());
-    job->timer = parts_.timers.subscribeAt(job->deadline, [this, alive = alive_, job] {
+    const Duration hold = std::clamp(2 * job->statement.objective, leastHold, longestHold);
+    job->holdUntil = std::min(job->deadline, now + hold);
+    job->timer = parts_.timers.subscribeAt(job->holdUntil, [this, alive = alive_, job] {
         if (*alive)
-            onDeadline(job);
+            onHeldTooLong(job);
     });
     enqueue(job);
     pump();
@@ -337,20 +347,24 @@
 {
     const std::optional<Position> needed = positionNeeded(job, now);
     job->needs = needed;
+    const bool allLeaving = std::all_of(servers_.begin(), servers_.end(), [](const auto &server) {
+        return server.second->listed().leaving;
+    });
     GroupServer *best = nullptr;
     int bestCost = 0;
     for (const auto &[id, server] : servers_) {
         const bool isPrimary = id == keeper_.primary();
         if (!server->hasSlot() || now < server->busyUntil || server->isUnreachable())
             continue;
+        if (server->listed().leaving && !allLeaving)
+            continue;
         if (!isPrimary && (!needed || !mayHold(*server, *needed, now)))
             continue;
         if (isPrimary && writesHeld_)
             continue;
         const bool farAway = server->listed().zone != parts_.zone;
         const int cost = 100 * server->inFlight() / std::max(1, server->slots())
-            + (isPrimary ? 90 : 0) + (farAway ? 10 : 0) + (job->avoid.count(id) != 0 ? 400 : 0)
-            + (server->listed().leaving ? 1000 : 0);
+            + (isPrimary ? 90 : 0) + (farAway ? 10 : 0) + (job->avoid.count(id) != 0 ? 400 : 0);
         if (best != nullptr && cost >= bestCost)
             continue;
         best = server.get();
@@ -365,6 +379,8 @@
         return true;
     if (now < server.behindUntil)
         return false;
+    if (now - server.shownAt >= knowledgeAge)
+        return true;
     const auto seen = positions_.firstSeen(needed);
     return seen && now - *seen >= 2 * server.lag + guessMargin;
 }
@@ -564,6 +580,9 @@
     const Position position = *result.position;
     if (!server.shown || *server.shown < position || position.term != server.shown->term)
         server.shown = position;
+    server.shownAt = parts_.timers.now();
+    if (result.error == ServerError::None)
+        server.behindPause = Duration(0);
     if (server.id() == keeper_.primary()) {
         positions_.add(sent, position);
         server.lag = Duration(0);
@@ -623,7 +642,8 @@
     if (server != nullptr && result.error == ServerError::Busy)
         server->busyUntil = now + busyPause;
     if (server != nullptr && result.error == ServerError::Lagging) {
-        server->behindUntil = now + behindPause;
+        server->behindPause = std::clamp(2 * server->behindPause, behindPause, longestBehindPause);
+        server->behindUntil = now + server->behindPause;
         if (server->id() == keeper_.primary())
             positions_.clear();
     }
@@ -766,6 +786,19 @@
     return keeper_.primary().empty() ? primaryHint : fullHint;
 }
 
+// One that has been sent keeps its time; one that still waits is refused.
+void GroupRunner::onHeldTooLong(const JobPtr &job)
+{
+    if (job->done)
+        return;
+    if (!job->running || parts_.timers.now() >= job->deadline)
+        return onDeadline(job);
+    job->timer = parts_.timers.subscribeAt(job->deadline, [this, alive = alive_, job] {
+        if (*alive)
+            onDeadline(job);
+    });
+}
+
 void GroupRunner::onDeadline(const JobPtr &job)
 {
     if (job->done)
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -70,6 +70,8 @@
         std::map<std::string, std::string> values;
         Instant arrived;
         Instant deadline;
+        // Refused if it has not been sent by then.
+        Instant holdUntil;
         // Objectives met first; see the queue.
         Instant due;
         // Position that a read needs, once it has been worked out.
@@ -124,6 +126,7 @@
     void refuse(const JobPtr &job, Reason reason, Executed executed, const std::string &detail,
                 Duration retryAfter = {});
     void finish(const JobPtr &job, inner::StatementDone done);
+    void onHeldTooLong(const JobPtr &job);
     void onDeadline(const JobPtr &job);
     void rollBack(const Origin &origin);
     void giveUpBegin(const Origin &origin);
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -84,10 +84,13 @@
 
     // Highest position in its answers; what a read there surely finds.
     std::optional<Position> shown;
+    Instant shownAt {};
     // How far it was behind when it was last known.
     Duration lag {0};
     // Not asked for reads until then: it has just refused one as too new for it.
     Instant behindUntil {};
+    // Grows while it goes on refusing.
+    Duration behindPause {0};
     // Not asked for anything until then: it has just refused work.
     Instant busyUntil {};
 
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -226,8 +226,16 @@
                                   const std::string &why)
 {
     const auto now = owner(group);
-    if (now && now->epoch == suspect.epoch && now->process != parts_.self)
-        planClaim(group, why, claimDelay(group));
+    if (!now || now->epoch != suspect.epoch || now->process == parts_.self)
+        return;
+    if (why != "link_down")
+        return planClaim(group, why, claimDelay(group));
+    // A link may end while its processes live; nothing listens where the process has ended.
+    parts_.probe(now->process.address, [this, group, epoch = suspect.epoch](bool refused) {
+        const auto still = owner(group);
+        if (refused && still && still->epoch == epoch)
+            planClaim(group, "nothing_listens", claimDelay(group));
+    });
 }
 
 Duration OwnershipTable::claimDelay(const GroupName &group) const
