Rank waiting statements by when they would be given up, in-time ones first

Cause: while two of three servers lag for seconds, one server carries a group; earliest objective first made everything late and lookups that can wait for seconds took slots from statements that cannot. Change: rank by open transaction, priority, then the route's time limit, with a bonus of 500 ms for what is not late yet.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -28,6 +28,8 @@
 // Longer waits end late, are given up by their callers, and keep others from being in time.
 constexpr Duration leastHold = std::chrono::milliseconds(300);
 constexpr Duration longestHold = std::chrono::milliseconds(1000);
+// By how much a statement that is not late yet goes before its turn.
+constexpr Duration inTimeBonus = std::chrono::milliseconds(500);
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
 
@@ -224,14 +226,23 @@
 
 void GroupRunner::enqueue(const JobPtr &job)
 {
-    const auto rank = [](const JobPtr &j) {
-        return std::make_tuple(continuesTransaction(j->statement) ? 0 : 1, j->statement.priority,
-                               j->due);
+    queue_.push_back(job);
+}
+
+// Open transactions hold connections that others need, so they go on first. Then by the routes'
+// priority, and by the time at which each would be given up; one that can still be answered within
+// its objective goes before one that is late already.
+void GroupRunner::sortQueue(Instant now)
+{
+    if (queue_.size() < 2)
+        return;
+    const auto rank = [now](const JobPtr &job) {
+        const bool late = now > job->due;
+        return std::make_tuple(continuesTransaction(job->statement) ? 0 : 1,
+                               job->statement.priority,
+                               late ? job->deadline : job->deadline - inTimeBonus);
     };
-    const auto place = std::find_if(queue_.rbegin(), queue_.rend(), [&](const JobPtr &other) {
-                           return rank(other) <= rank(job);
-                       }).base();
-    queue_.insert(place, job);
+    queue_.sort([&](const JobPtr &a, const JobPtr &b) { return rank(a) < rank(b); });
 }
 
 void GroupRunner::pumpSoon()
@@ -251,6 +262,7 @@
 void GroupRunner::pump()
 {
     const Instant now = parts_.timers.now();
+    sortQueue(now);
     std::optional<Instant> later;
     for (auto at = queue_.begin(); at != queue_.end();) {
         const JobPtr job = *at;
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -102,6 +102,7 @@
     };
 
     void enqueue(const JobPtr &job);
+    void sortQueue(Instant now);
     void pump();
     void pumpSoon();
     bool tryStart(const JobPtr &job, Instant now);
