Hold waiting statements for one and a half objectives

Cause: what waits long ends late or is given up by its caller, and callers that are refused early come back through another host in time. Change: a statement that has found no server after 1.5 times its route's objective (250 ms to 2 s) is refused with the time to come back.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -26,8 +26,8 @@
 constexpr Duration knowledgeAge = std::chrono::milliseconds(60);
 // How long a statement may wait for a server: twice its route's objective, within these bounds.
 // Longer waits end late, are given up by their callers, and keep others from being in time.
-constexpr Duration leastHold = std::chrono::milliseconds(300);
-constexpr Duration longestHold = std::chrono::milliseconds(1000);
+constexpr Duration leastHold = std::chrono::milliseconds(250);
+constexpr Duration longestHold = std::chrono::milliseconds(2000);
 // By how much a statement that is not late yet goes before its turn.
 constexpr Duration inTimeBonus = std::chrono::milliseconds(500);
 // What waits is looked at this often when no event brings it forward.
@@ -214,7 +214,7 @@
     if (queue_.size() >= maxQueued && !continuesTransaction(job->statement))
         return refuse(job, Reason::QueueFull, Executed::No, "the queue of the group is full",
                       retryHint());
-    const Duration hold = std::clamp(2 * job->statement.objective, leastHold, longestHold);
+    const Duration hold = std::clamp(job->statement.objective * 3 / 2, leastHold, longestHold);
     job->holdUntil = std::min(job->deadline, now + hold);
     job->timer = parts_.timers.subscribeAt(job->holdUntil, [this, alive = alive_, job] {
         if (*alive)
