--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -17,7 +17,7 @@
 // Clocks of two hosts may run apart by this over one lease: 1%, far above any real drift.
 constexpr Duration clockMargin = std::chrono::milliseconds(120);
 // The row is read this often, so that a lost answer or two leave most of the lease.
-constexpr Duration renewPeriod = std::chrono::milliseconds(1500);
+constexpr Duration renewPeriod = std::chrono::milliseconds(2500);
 // A claim that is read and written within this time still knows the guard of its row.
 constexpr Duration claimTime = std::chrono::seconds(3);
 // A change with no answer may still take effect; the row is looked at so often before giving up.
