Send reads that may be a little old straight to a replica in the entry's zone

Change: owners tell a position of the primary with its age in each answer and lend connections; entries read at a replica of their zone after a position that makes the read right, and take the long way when it is refused. The preparation of connections is shared with the owner (group/connectionstate).

--- a/src/decision/positionlog.h
+++ b/src/decision/positionlog.h
@@ -22,6 +22,8 @@
 
     // Highest position shown; nothing before the first.
     std::optional<Position> newest() const;
+    // When the question was sent that was answered with it.
+    Instant newestSent() const { return samples_.empty() ? Instant() : samples_.back().sent; }
 
     // When a position of at least this one was first seen; nothing when it has not been, or long
     // ago.
--- /dev/null
+++ b/src/group/connectionstate.cpp
@@ -0,0 +1,89 @@
+#include "group/connectionstate.h"
+
+namespace kelptally::group {
+
+namespace {
+
+// Prepared statements are shared between sessions by kind and shape.
+std::string preparedKey(const inner::RunStatement &statement)
+{
+    return (statement.verb == inner::SessionVerb::Read ? "r" : "w") + statement.preparedShape;
+}
+
+std::string preparedName(int number)
+{
+    return "p" + std::to_string(number);
+}
+
+} // namespace
+
+SessionValues valuesOf(const inner::RunStatement &statement)
+{
+    SessionValues values;
+    for (std::size_t i = 0; i + 1 < statement.values.size(); i += 2)
+        values[statement.values[i]] = statement.values[i + 1];
+    return values;
+}
+
+std::vector<ServerCommand> prepareConnection(PooledConnection &connection,
+                                             const inner::RunStatement &statement,
+                                             const SessionValues &values, bool inTransaction)
+{
+    std::vector<ServerCommand> batch;
+    // 1. A value can be changed but not removed, except by a reset of everything.
+    bool stray = false;
+    for (const auto &[name, value] : connection.values)
+        stray = stray || values.count(name) == 0;
+    if (stray && !inTransaction) {
+        ServerCommand reset;
+        reset.kind = CommandKind::Reset;
+        batch.push_back(reset);
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto &[name, value] : values) {
+        const auto held = connection.values.find(name);
+        if (held != connection.values.end() && held->second == value)
+            continue;
+        ServerCommand set;
+        set.kind = CommandKind::SetValue;
+        set.name = name;
+        set.argument = value;
+        batch.push_back(set);
+        connection.values[name] = value;
+    }
+    // 2. The prepared statement, unless the connection has it.
+    if (statement.preparedShape.empty())
+        return batch;
+    const std::string key = preparedKey(statement);
+    if (connection.prepared.count(key) == 0) {
+        connection.prepared[key] = ++connection.lastPrepared;
+        ServerCommand prepare;
+        prepare.kind = CommandKind::Prepare;
+        prepare.name = preparedName(connection.lastPrepared);
+        prepare.argument = statement.preparedShape;
+        prepare.writes = statement.verb != inner::SessionVerb::Read;
+        batch.push_back(prepare);
+    }
+    return batch;
+}
+
+ServerCommand statementCommand(const PooledConnection &connection,
+                               const inner::RunStatement &statement,
+                               const std::optional<Position> &after)
+{
+    ServerCommand command;
+    command.id = statement.statementId;
+    command.after = after;
+    if (statement.preparedShape.empty()) {
+        command.kind = CommandKind::Statement;
+        command.text = statement.text;
+        return command;
+    }
+    command.kind = CommandKind::ExecutePrepared;
+    command.name = preparedName(connection.prepared.at(preparedKey(statement)));
+    command.argument = statement.arguments;
+    return command;
+}
+
+} // namespace kelptally::group
--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -1,11 +1,18 @@
 #include "group/grouphost.h"
 
+#include <algorithm>
+#include <set>
+
 namespace kelptally::group {
 
 namespace {
 
 // After another process has taken the group, open transactions get this long to end here.
 constexpr Duration lastStatements = std::chrono::milliseconds(1500);
+// Of a server's connections the entries of its zone may borrow this share; the owner takes 60%.
+constexpr int lentPercent = 30;
+// More than this an entry could hardly use at once without filling the server's slots.
+constexpr int mostLent = 2;
 constexpr Duration quietPeriod = std::chrono::milliseconds(100);
 
 } // namespace
@@ -123,7 +130,9 @@
 
 void GroupHost::onStatement(inner::LinkId link, inner::RunStatement statement)
 {
-    run(link, std::move(statement), [this, link](inner::StatementDone done) {
+    const GroupName group = statement.group;
+    run(link, std::move(statement), [this, link, group](inner::StatementDone done) {
+        done.lentConnections = lentTo(link, group);
         static_cast<void>(parts_.links.sendOn(link, std::move(done)));
     });
 }
@@ -146,8 +155,29 @@
         parts_.links.sendOn(link, inner::OwnershipEnded {request.group, request.epoch}));
 }
 
+// All entries of one zone together borrow a fixed part of each replica's connections there.
+int GroupHost::lentTo(inner::LinkId link, const GroupName &group) const
+{
+    const auto peer = peers_.find(link);
+    const GroupRunner *runner = find(group);
+    if (peer == peers_.end() || runner == nullptr)
+        return 0;
+    std::set<std::string> entries;
+    for (const auto &[id, other] : peers_)
+        if (other.zone == peer->second.zone)
+            entries.insert(other.process.address);
+    const int lent = runner->maxConnections() * lentPercent / 100;
+    return std::min(mostLent, lent / static_cast<int>(entries.size()));
+}
+
+void GroupHost::onPeerUp(inner::LinkId link, const inner::Hello &peer)
+{
+    peers_[link] = peer;
+}
+
 void GroupHost::onPeerDown(inner::LinkId link)
 {
+    peers_.erase(link);
     for (const auto &[group, held] : groups_)
         held.runner->onOriginGone(link);
 }
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -48,6 +48,7 @@
     // From peers.
     void onStatement(inner::LinkId link, inner::RunStatement statement);
     void onEndRequest(inner::LinkId link, const inner::OwnershipEndRequest &request);
+    void onPeerUp(inner::LinkId link, const inner::Hello &peer);
     void onPeerDown(inner::LinkId link);
 
     // Gives every owned group to one of the peers, if any is known; called until none is left.
@@ -68,12 +69,15 @@
     Held &held(const GroupName &group);
     GroupRunner *find(const GroupName &group) const;
     void closeWhenQuiet(const GroupName &group);
+    int lentTo(inner::LinkId link, const GroupName &group) const;
 
     const Parts parts_;
     OwnershipTable ownership_;
     std::map<GroupName, std::vector<ListedServer>> servers_;
     std::map<GroupName, session::GroupOptions> options_;
     std::map<GroupName, Held> groups_;
+    // Peers by link.
+    std::map<inner::LinkId, inner::Hello> peers_;
 };
 
 } // namespace kelptally::group
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -200,8 +200,7 @@
     job->arrived = now;
     job->deadline = now + job->statement.timeLeft;
     job->due = now + job->statement.objective;
-    for (std::size_t i = 0; i + 1 < job->statement.values.size(); i += 2)
-        job->values[job->statement.values[i]] = job->statement.values[i + 1];
+    job->values = valuesOf(job->statement);
     if (continuesTransaction(job->statement)) {
         const auto open = transactions_.find(job->origin);
         if (open == transactions_.end() || open->second.job)
@@ -441,72 +440,12 @@
         sendStatement(job);
 }
 
-// Brings the connection into the session's state: values exactly, prepared statements as needed.
-std::vector<ServerCommand> GroupRunner::prepare(const JobPtr &job, bool inTransaction)
-{
-    PooledConnection &connection = *job->connection;
-    std::vector<ServerCommand> batch;
-    // 1. A value can be changed but not removed, except by a reset of everything.
-    bool stray = false;
-    for (const auto &[name, value] : connection.values)
-        stray = stray || job->values.count(name) == 0;
-    if (stray && !inTransaction) {
-        ServerCommand reset;
-        reset.kind = CommandKind::Reset;
-        batch.push_back(reset);
-        connection.values.clear();
-        connection.prepared.clear();
-    }
-    for (const auto &[name, value] : job->values) {
-        const auto held = connection.values.find(name);
-        if (held != connection.values.end() && held->second == value)
-            continue;
-        ServerCommand set;
-        set.kind = CommandKind::SetValue;
-        set.name = name;
-        set.argument = value;
-        batch.push_back(set);
-        connection.values[name] = value;
-    }
-    // 2. Prepared statements are shared between sessions by kind and shape.
-    if (job->statement.preparedShape.empty())
-        return batch;
-    const std::string key = (isRead(job->statement) ? "r" : "w") + job->statement.preparedShape;
-    if (connection.prepared.count(key) == 0) {
-        connection.prepared[key] = ++connection.lastPrepared;
-        ServerCommand prepare;
-        prepare.kind = CommandKind::Prepare;
-        prepare.name = "p" + std::to_string(connection.lastPrepared);
-        prepare.argument = job->statement.preparedShape;
-        prepare.writes = !isRead(job->statement);
-        batch.push_back(prepare);
-    }
-    return batch;
-}
-
-ServerCommand GroupRunner::command(const JobPtr &job, bool after) const
-{
-    ServerCommand command;
-    command.id = job->statement.statementId;
-    if (job->statement.preparedShape.empty()) {
-        command.kind = CommandKind::Statement;
-        command.text = job->statement.text;
-    } else {
-        const std::string key = (isRead(job->statement) ? "r" : "w") + job->statement.preparedShape;
-        command.kind = CommandKind::ExecutePrepared;
-        command.name = "p" + std::to_string(job->connection->prepared.at(key));
-        command.argument = job->statement.arguments;
-    }
-    if (after)
-        command.after = job->needs;
-    return command;
-}
-
 // Nothing is sent behind a begin before it is answered: after a refused one it would run outside
 // any transaction.
 void GroupRunner::sendBegin(const JobPtr &job)
 {
-    std::vector<ServerCommand> batch = prepare(job, false);
+    std::vector<ServerCommand> batch =
+        prepareConnection(*job->connection, job->statement, job->values, false);
     const bool readOnly = job->statement.begins == inner::TransactionMode::ReadOnly;
     if (job->statement.rule == inner::ReadRule::Newest || !readOnly)
         job->needs = positions_.newest();
@@ -527,8 +466,11 @@
     const bool inTransaction = job->statement.inTransaction;
     if (!inTransaction && isRead(job->statement) && job->statement.rule == inner::ReadRule::Newest)
         job->needs = positions_.newest();
-    std::vector<ServerCommand> batch = prepare(job, inTransaction);
-    batch.push_back(command(job, !inTransaction && isRead(job->statement)));
+    std::vector<ServerCommand> batch =
+        prepareConnection(*job->connection, job->statement, job->values, inTransaction);
+    const bool positioned = !inTransaction && isRead(job->statement);
+    batch.push_back(
+        statementCommand(*job->connection, job->statement, positioned ? job->needs : std::nullopt));
     const std::size_t expected = batch.size();
     job->sentAt = parts_.timers.now();
     job->connection->connection->run(std::move(batch),
@@ -788,6 +730,11 @@
     job->done = true;
     parts_.timers.cancel(job->timer);
     done.requestId = job->statement.requestId;
+    // What the entry needs for reads of its own.
+    if (active_ && positions_.newest()) {
+        done.logPosition = positions_.newest();
+        done.logAge = parts_.timers.now() - positions_.newestSent();
+    }
     const auto callback = std::move(job->callback);
     job->callback = nullptr;
     callback(std::move(done));
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -3,6 +3,7 @@
 #include "core/eventlog.h"
 #include "core/metrics.h"
 #include "decision/positionlog.h"
+#include "group/connectionstate.h"
 #include "group/primarykeeper.h"
 #include "session/catalogue.h"
 
@@ -55,6 +56,8 @@
     void onPrimaryLost(const ServerName &server) override;
     void onWritesHeld(bool held) override;
 
+    // Connections that every server of the group takes from all processes together.
+    int maxConnections() const { return options_.maxConnections; }
     std::size_t queued() const { return queue_.size(); }
     std::size_t transactions() const { return transactions_.size(); }
 
@@ -67,7 +70,7 @@
         inner::RunStatement statement;
         Origin origin;
         session::DoneCallback callback;
-        std::map<std::string, std::string> values;
+        SessionValues values;
         Instant arrived;
         Instant deadline;
         // Refused if it has not been sent by then.
@@ -114,8 +117,6 @@
     void start(const JobPtr &job, GroupServer &server, const PooledConnectionPtr &connection);
     void sendBegin(const JobPtr &job);
     void sendStatement(const JobPtr &job);
-    std::vector<ServerCommand> prepare(const JobPtr &job, bool inTransaction);
-    ServerCommand command(const JobPtr &job, bool after) const;
     void onBegun(const JobPtr &job, BatchResult result, std::size_t expected);
     void onResult(const JobPtr &job, BatchResult result, std::size_t expected);
     void onFailure(const JobPtr &job, const CommandResult &result);
--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -43,6 +43,8 @@
 
 int GroupServer::share() const
 {
+    if (limit_)
+        return *limit_;
     return std::max(leastShare, maxConnections_ * sharePercent / 100);
 }
 
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -45,6 +45,8 @@
     void update(const ListedServer &listed);
     // Connections of all owners together; this one takes a share of them.
     void setMaxConnections(int count);
+    // This one takes so many and no more, whatever the share.
+    void limitConnections(int count) { limit_ = count; }
     // Opens what the slots need, so that the first statements don't wait for it.
     void warmUp();
     // Closes everything; running batches end as lost.
@@ -105,6 +107,7 @@
     const Parts parts_;
     ListedServer listed_;
     int maxConnections_ = 0;
+    std::optional<int> limit_;
     std::vector<PooledConnectionPtr> idle_;
     std::set<PooledConnectionPtr> taken_;
     ServerConnectionPtr control_;
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -36,8 +36,10 @@
                           if (server.primary)
                               primaryZones_[group] = server.zone;
                       groups_->setServers(group, servers);
+                      near_.setServers(group, servers);
                       wantGroups();
-                  })
+                  }),
+      near_({ports.thread.timers(), ports.connector, ports.log, ports.metrics, settings.zone})
 { }
 
 HostProcess::~HostProcess() = default;
@@ -69,7 +71,7 @@
         ports_.metrics, probe, self_, settings_.zone,
         [this](const GroupName &group) { router_->onOwnerChanged(group); }});
     router_ = std::make_unique<session::Router>(session::Router::Parts {
-        timers, *links_, groups_->ownership(), *groups_, ports_.log, ports_.metrics, self_});
+        timers, *links_, groups_->ownership(), *groups_, near_, ports_.log, ports_.metrics, self_});
     groups_->start();
     return absl::OkStatus();
 }
@@ -185,6 +187,7 @@
     linkAddresses_[link] = peer.process.address;
     peers_[peer.process.address] = peer;
     ports_.log.info("peer_up").with("peer", peer.process.address).with("host", peer.host);
+    groups_->onPeerUp(link, peer);
     groups_->ownership().onPeerUp(peer.process);
     router_->onPeerUp(peer.process.address);
 }
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -2,6 +2,7 @@
 
 #include "core/dutythread.h"
 #include "group/grouphost.h"
+#include "group/nearreads.h"
 #include "group/serverlist.h"
 #include "inner/websocketlinks.h"
 #include "session/callersession.h"
@@ -95,6 +96,7 @@
     session::CurrentCatalogue catalogue_;
     group::ServerList serverList_;
     std::unique_ptr<group::GroupHost> groups_;
+    group::NearReads near_;
     std::unique_ptr<session::Router> router_;
     CallerConnections *callers_ = nullptr;
     std::map<inner::LinkId, std::string> linkAddresses_;
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -271,6 +271,9 @@
     archive.record(m.position);
     archive.duration(m.retryAfter);
     archive.number(m.ownerEpoch);
+    archive.record(m.logPosition);
+    archive.duration(m.logAge);
+    archive.number(m.lentConnections);
 }
 
 template <typename Archive, typename M>
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -308,6 +308,12 @@
     Duration retryAfter {0};
     // Newest ownership that the asked process knows of, when it is not the owner.
     OwnerEpoch ownerEpoch = 0;
+    // A position of the primary, and how long ago it was asked for: it holds whatever had been
+    // acknowledged by then.
+    std::optional<Position> logPosition;
+    Duration logAge {0};
+    // Connections to each replica in the entry's zone that the owner lends it for reads.
+    int lentConnections = 0;
 };
 
 // Rolls back what the session has open, if anything. There is no answer.
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -50,10 +50,27 @@
         lastTick_ = parts_.timers.now();
         parts_.timers.subscribeAfter(tickPeriod, [this] { tick(); });
     }
-    place(id);
+    runNear(id);
     return id;
 }
 
+// Tries the way without the owner first.
+void Router::runNear(inner::RequestId id)
+{
+    const std::optional<OwnerRef> owner = parts_.owners.owner(pending_.at(id).statement.group);
+    const bool ownedHere = owner && owner->process == parts_.self;
+    const auto callback = [this, id](inner::StatementDone done) {
+        if (pending_.count(id) == 0)
+            return;
+        if (done.reason == Reason::None)
+            return finish(id, std::move(done));
+        parts_.metrics.countRetry(done.reason);
+        place(id);
+    };
+    if (ownedHere || !parts_.near.run(pending_.at(id).statement, callback))
+        place(id);
+}
+
 void Router::cancel(inner::RequestId id)
 {
     const auto found = pending_.find(id);
@@ -178,6 +195,8 @@
     if (found == pending_.end())
         return;
     Pending &pending = found->second;
+    if (!pending.address.empty())
+        parts_.near.learn(pending.statement, pending.sentAt, done);
     if (done.reason == Reason::NotOwner && done.executed == Executed::No) {
         leavePeer(pending);
         if (continuesTransaction(pending.statement))
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -49,6 +49,20 @@
                                 std::uint64_t session) = 0;
 };
 
+// Runs some statements without their owner.
+class NearExecutor
+{
+public:
+    virtual ~NearExecutor() = default;
+
+    // False: not this one. Else calls back exactly once, never from within the call; a reason other
+    // than None says that the owner has to do it, and that nothing was changed.
+    virtual bool run(const inner::RunStatement &statement, DoneCallback callback) = 0;
+    // An owner's answer to a statement that was sent then.
+    virtual void learn(const inner::RunStatement &statement, Instant sent,
+                       const inner::StatementDone &done) = 0;
+};
+
 // Takes statements to owners and their answers back. Statements that may be repeated go to the next
 // owner when theirs is gone; others get their final answer at once.
 class Router : public StatementRouter
@@ -60,6 +74,7 @@
         inner::PeerLinks &links;
         OwnerSource &owners;
         StatementExecutor &local;
+        NearExecutor &near;
         EventLog &log;
         Metrics &metrics;
         ProcessId self;
@@ -104,6 +119,7 @@
         int open = 0;
     };
 
+    void runNear(inner::RequestId id);
     void place(inner::RequestId id);
     bool sendTo(inner::RequestId id, Pending &pending, const OwnerRef &owner);
     void runHere(inner::RequestId id, Pending &pending);
