Prefer the near server for reads at the owner; pause claims the store refuses

Cause: reads at the owner avoided the primary next to it and crossed zones; a host that the store turns away tried to claim at every tick. Change: costs of 30% and 40% of the slots for the primary and for another zone instead of 90% and 10%; a claim whose row can't be read pauses 250 ms.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -30,6 +30,11 @@
 constexpr Duration longestHold = std::chrono::milliseconds(2000);
 // By how much a statement that is not late yet goes before its turn.
 constexpr Duration inTimeBonus = std::chrono::milliseconds(500);
+// What makes a server the worse choice for a read, in percent of its slots: the primary alone can
+// write, another zone costs time and bytes, and one that has just failed the read may do so again.
+constexpr int primaryCost = 30;
+constexpr int farCost = 40;
+constexpr int failedCost = 400;
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
 
@@ -375,7 +380,8 @@
             continue;
         const bool farAway = server->listed().zone != parts_.zone;
         const int cost = 100 * server->inFlight() / std::max(1, server->slots())
-            + (isPrimary ? 90 : 0) + (farAway ? 10 : 0) + (job->avoid.count(id) != 0 ? 400 : 0);
+            + (isPrimary ? primaryCost : 0) + (farAway ? farCost : 0)
+            + (job->avoid.count(id) != 0 ? failedCost : 0);
         if (best != nullptr && cost >= bestCost)
             continue;
         best = server.get();
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -28,6 +28,8 @@
 // of them writes. In the primary's zone they come first: statements then cross zones less.
 constexpr Duration claimSpread = std::chrono::milliseconds(60);
 constexpr Duration otherZoneDelay = std::chrono::milliseconds(80);
+// A claim that the store did not even let read its row is tried again after this pause.
+constexpr Duration claimPause = std::chrono::milliseconds(250);
 // At a cold start hosts come up within some hundred ms of each other.
 constexpr Duration coldStartDelay = std::chrono::milliseconds(300);
 
@@ -249,7 +251,7 @@
 void OwnershipTable::planClaim(const GroupName &group, const std::string &why, Duration delay)
 {
     Entry &entry = entries_[group];
-    if (!claiming_ || entry.claimPlanned || entry.writing)
+    if (!claiming_ || entry.claimPlanned || entry.writing || parts_.timers.now() < entry.claimAfter)
         return;
     entry.claimPlanned = true;
     const OwnerEpoch seen = entry.record.epoch;
@@ -269,6 +271,7 @@
         Entry &entry = entries_[group];
         if (!row.ok()) {
             entry.writing = false;
+            entry.claimAfter = parts_.timers.now() + claimPause;
             parts_.log.warning("claim_unread")
                 .with("group", group)
                 .with("cause", row.status().message());
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -112,6 +112,7 @@
         // A claim or a change of the own row is under way.
         bool writing = false;
         bool claimPlanned = false;
+        Instant claimAfter {};
         Instant leaseUntil {};
         // The owner before this process, until it is known to have ended.
         std::optional<ProcessId> predecessor;
