Learn owners from peers too, and follow a table again after a failed read

A table whose history went while it couldn't be read was not followed any more. Change: an answer of 'not owner' names the owner; peers are asked; questions about a group are 150 ms apart; the follower retries until it follows.

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -27,6 +27,7 @@
                           callback(outcome == ProbeOutcome::Refused);
                       });
                   },
+                  parts.askPeers,
                   [this](const GroupName &group) {
                       const auto found = servers_.find(group);
                       if (found != servers_.end())
@@ -80,15 +81,21 @@
 void GroupHost::run(inner::LinkId origin, inner::RunStatement statement,
                     session::DoneCallback callback)
 {
-    GroupRunner *runner = find(statement.group);
-    if (runner != nullptr)
-        return runner->run(origin, std::move(statement), std::move(callback));
+    const GroupName group = statement.group;
+    const auto answer = [this, group, callback = std::move(callback)](inner::StatementDone done) {
+        const OwnershipRecord *record = ownership_.record(group);
+        if (done.reason == Reason::NotOwner && record != nullptr) {
+            done.ownerEpoch = record->epoch;
+            done.owner = record->owner;
+        }
+        callback(std::move(done));
+    };
+    if (GroupRunner *runner = find(group))
+        return runner->run(origin, std::move(statement), answer);
     inner::StatementDone done;
     done.requestId = statement.requestId;
     done.reason = Reason::NotOwner;
-    if (const OwnershipRecord *record = ownership_.record(statement.group))
-        done.ownerEpoch = record->epoch;
-    callback(std::move(done));
+    answer(std::move(done));
 }
 
 void GroupHost::endTransaction(inner::LinkId origin, const GroupName &group, std::uint64_t session)
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -24,6 +24,8 @@
         PrimaryKeeper::Prober probe;
         ProcessId self;
         ZoneName zone;
+        // Asks other processes who owns the group.
+        std::function<void(const GroupName &)> askPeers;
         // Another owner is known; the router places what waits.
         std::function<void(const GroupName &)> onOwnerChanged;
     };
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -30,6 +30,8 @@
 constexpr Duration otherZoneDelay = std::chrono::milliseconds(80);
 // A claim that the store did not even let read its row is tried again after this pause.
 constexpr Duration claimPause = std::chrono::milliseconds(250);
+// Questions about one group, to the store or to peers, are this far apart.
+constexpr Duration askPause = std::chrono::milliseconds(150);
 // At a cold start hosts come up within some hundred ms of each other.
 constexpr Duration coldStartDelay = std::chrono::milliseconds(300);
 
@@ -98,12 +100,39 @@
 // The owner that was asked is none: the feed is late or hears nothing.
 void OwnershipTable::refreshOwner(const GroupName &group)
 {
+    if (!mayAsk(group))
+        return;
+    parts_.askPeers(group);
     parts_.table.read(table, group, [this](auto row) {
         if (row.ok() && *row)
             apply(**row);
     });
 }
 
+bool OwnershipTable::mayAsk(const GroupName &group)
+{
+    Entry &entry = entries_[group];
+    const Instant now = parts_.timers.now();
+    if (now < entry.askAfter)
+        return false;
+    entry.askAfter = now + askPause;
+    return true;
+}
+
+void OwnershipTable::learnOwner(const GroupName &group, const session::OwnerRef &owner)
+{
+    Entry &entry = entries_[group];
+    if (owner.process.address.empty() || (entry.known && owner.epoch <= entry.record.epoch))
+        return;
+    OwnershipRecord record = entry.record;
+    record.epoch = owner.epoch;
+    record.owner = owner.process;
+    // Only its own reading of the row makes this process an owner.
+    if (owner.process == parts_.self)
+        return refreshOwner(group);
+    applyRecord(group, record, std::string());
+}
+
 void OwnershipTable::apply(const services::TableRow &row)
 {
     const auto record = decodeOwnership(row.value);
@@ -230,6 +259,8 @@
     const auto now = owner(group);
     if (!now || now->epoch != suspect.epoch || now->process == parts_.self)
         return;
+    if (mayAsk(group))
+        parts_.askPeers(group);
     if (why != "link_down")
         return planClaim(group, why, claimDelay(group));
     // A link may end while its processes live; nothing listens where the process has ended.
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -64,6 +64,8 @@
         ZoneName zone;
         // Whether nothing listens at a process's address.
         std::function<void(const std::string &address, std::function<void(bool refused)>)> probe;
+        // Asks other processes who owns the group; what they know comes to learnOwner().
+        std::function<void(const GroupName &)> askPeers;
         // Zone of the group's primary, as far as known.
         std::function<ZoneName(const GroupName &)> primaryZone;
     };
@@ -81,6 +83,8 @@
     void suspectOwner(const GroupName &group, const session::OwnerRef &owner,
                       const std::string &why) override;
     void refreshOwner(const GroupName &group) override;
+    // What another process knows, for when the store turns this one away.
+    void learnOwner(const GroupName &group, const session::OwnerRef &owner) override;
 
     bool owns(const GroupName &group) const;
     std::vector<GroupName> owned() const;
@@ -113,6 +117,8 @@
         bool writing = false;
         bool claimPlanned = false;
         Instant claimAfter {};
+        // The row and the peers are not asked again before then.
+        Instant askAfter {};
         Instant leaseUntil {};
         // The owner before this process, until it is known to have ended.
         std::optional<ProcessId> predecessor;
@@ -140,6 +146,7 @@
     void renew();
     void renewOne(const GroupName &group);
     void askPredecessors();
+    bool mayAsk(const GroupName &group);
     void forgetPredecessor(const GroupName &group, Entry &entry, const std::string &proof);
 
     const Parts parts_;
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -69,6 +69,10 @@
     groups_ = std::make_unique<group::GroupHost>(group::GroupHost::Parts {
         timers, *links_, ports_.table, ports_.feed, ports_.connector, ports_.promotions, ports_.log,
         ports_.metrics, probe, self_, settings_.zone,
+        [this](const GroupName &group) {
+            for (const auto &[link, address] : linkAddresses_)
+                static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
+        },
         [this](const GroupName &group) { router_->onOwnerChanged(group); }});
     router_ = std::make_unique<session::Router>(session::Router::Parts {
         timers, *links_, groups_->ownership(), *groups_, near_, ports_.log, ports_.metrics, self_});
@@ -234,6 +238,24 @@
     static_cast<void>(links_->sendOn(link, inner::AliveAnswer {message.sequence}));
 }
 
+void HostProcess::handle(inner::LinkId link, inner::Locate &message)
+{
+    const group::OwnershipRecord *record = groups_->ownership().record(message.group);
+    if (record == nullptr)
+        return;
+    static_cast<void>(links_->sendOn(link,
+                                     inner::LocateAnswer {message.requestId, self_, message.group,
+                                                          record->epoch, record->owner.address}));
+}
+
+// The answer names the owner's address only; its run is known when it is the one that answers.
+void HostProcess::handle(inner::LinkId, inner::LocateAnswer &message)
+{
+    const bool itself = message.owner == message.from.address;
+    const Incarnation incarnation = itself ? message.from.incarnation : 0;
+    groups_->ownership().learnOwner(message.group, {message.epoch, {message.owner, incarnation}});
+}
+
 void HostProcess::handle(inner::LinkId link, inner::OwnershipEndRequest &message)
 {
     groups_->onEndRequest(link, message);
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -81,6 +81,8 @@
     void handle(inner::LinkId link, inner::AliveRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEndRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEnded &message);
+    void handle(inner::LinkId link, inner::Locate &message);
+    void handle(inner::LinkId link, inner::LocateAnswer &message);
     template <typename Other>
     void handle(inner::LinkId, Other &)
     { }
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -274,6 +274,7 @@
     archive.record(m.logPosition);
     archive.duration(m.logAge);
     archive.number(m.lentConnections);
+    archive.record(m.owner);
 }
 
 template <typename Archive, typename M>
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -308,6 +308,7 @@
     Duration retryAfter {0};
     // Newest ownership that the asked process knows of, when it is not the owner.
     OwnerEpoch ownerEpoch = 0;
+    ProcessId owner;
     // A position of the primary, and how long ago it was asked for: it holds whatever had been
     // acknowledged by then.
     std::optional<Position> logPosition;
--- a/src/services/tablefollower.cpp
+++ b/src/services/tablefollower.cpp
@@ -46,7 +46,8 @@
         note(snapshot.status());
         if (snapshot.ok())
             return onSnapshot(*snapshot);
-        if (!read_)
+        // Nothing else would begin to follow the changes.
+        if (!following_)
             parts_.timers.subscribeAfter(failedPause, [this, alive] {
                 if (*alive)
                     check();
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -203,9 +203,12 @@
             return refuse(done.requestId, Reason::TransactionEnded, Executed::No,
                           "the owner has given the group up");
         parts_.metrics.countRetry(Reason::NotOwner);
-        if (done.ownerEpoch <= pending.epoch)
-            parts_.owners.refreshOwner(pending.statement.group);
-        return waitFor(done.requestId, pending);
+        const GroupName group = pending.statement.group;
+        const bool news = done.ownerEpoch > pending.epoch;
+        waitFor(done.requestId, pending);
+        if (news)
+            return parts_.owners.learnOwner(group, {done.ownerEpoch, done.owner});
+        return parts_.owners.refreshOwner(group);
     }
     finish(done.requestId, std::move(done));
 }
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -33,6 +33,8 @@
                               const std::string &why) = 0;
     // The process that was thought the owner says that it is not.
     virtual void refreshOwner(const GroupName &group) = 0;
+    // Another process knows this owner.
+    virtual void learnOwner(const GroupName &group, const OwnerRef &owner) = 0;
 };
 
 // Runs statements of groups that this process owns. The origin tells the entries apart: their link,
