--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -346,7 +346,7 @@
         .with("alone", parts_.ownership.isAlone(group_))
         .with("lease_left_ms", parts_.ownership.leaseLeft(group_));
     planned_ = planned;
-    oldPrimary_ = primary_;
+    oldPrimary_ = primary_.empty() ? lastLeader() : primary_;
     stopped_.clear();
     excluded_.clear();
     candidate_.clear();
@@ -362,6 +362,16 @@
     stopReplicas(parts_.timers.now());
 }
 
+// The server that led last as far as the row tells: whatever was acknowledged there, others have
+// received, so that it need not be heard. A candidate may have led since.
+ServerName PrimaryKeeper::lastLeader() const
+{
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    if (record == nullptr)
+        return {};
+    return record->candidate.empty() ? record->primary : record->candidate;
+}
+
 void PrimaryKeeper::stopReplicas(Instant now)
 {
     // 1. Only under the lease, and when no owner before this one can act.
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -91,6 +91,7 @@
     void loseLead(const std::string &why);
 
     void beginChange(const std::string &why, bool planned);
+    ServerName lastLeader() const;
     void stopReplicas(Instant now);
     void onStopped(const ServerName &server, const ServerReport &report, Instant asked);
     void chooseCandidate(Instant now);
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -30,7 +30,7 @@
 
 HostProcess::HostProcess(const settings::HostSettings &settings, const Ports &ports)
     : settings_(settings), ports_(ports), self_(drawIdentity(settings.peerAddress())),
-      serverList_(ports.thread.timers(), ports.log,
+      serverList_(ports.timers, ports.log,
                   [this](const GroupName &group, const std::vector<group::ListedServer> &servers) {
                       for (const group::ListedServer &server : servers)
                           if (server.primary)
@@ -39,7 +39,7 @@
                       near_.setServers(group, servers);
                       wantGroups();
                   }),
-      near_({ports.thread.timers(), ports.connector, ports.log, ports.metrics, settings.zone})
+      near_({ports.timers, ports.connector, ports.log, ports.metrics, settings.zone})
 { }
 
 HostProcess::~HostProcess() = default;
@@ -47,28 +47,14 @@
 absl::Status HostProcess::start(CallerConnections &callers)
 {
     callers_ = &callers;
-    inner::PeerLinkOptions options;
-    options.listenAddress = settings_.peerAddress();
-    options.self = self_;
-    options.host = settings_.host;
-    options.zone = settings_.zone;
-    options.peerKey = settings_.peerKey;
-    options.configVersion = [this] { return catalogue_.version(); };
-    options.metrics = &ports_.metrics;
-    options.thread = &ports_.thread;
-    auto links = inner::makePeerLinks(options, *this);
+    auto links = ports_.makeLinks(self_, [this] { return catalogue_.version(); }, *this);
     if (!links.ok())
         return links.status();
     links_ = *std::move(links);
-    TimerService &timers = ports_.thread.timers();
-    const auto probe = [this](const std::string &endpoint, Duration timeout,
-                              std::function<void(ProbeOutcome)> callback) {
-        probeTcp(ports_.thread.context(), ports_.thread.timers(), endpoint, timeout,
-                 std::move(callback));
-    };
+    TimerService &timers = ports_.timers;
     groups_ = std::make_unique<group::GroupHost>(group::GroupHost::Parts {
         timers, *links_, ports_.table, ports_.feed, ports_.connector, ports_.promotions, ports_.log,
-        ports_.metrics, probe, self_, settings_.zone,
+        ports_.metrics, ports_.probe, self_, settings_.zone,
         [this](const GroupName &group) {
             for (const auto &[link, address] : linkAddresses_)
                 static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
@@ -111,7 +97,7 @@
 {
     if (catalogue_.route(database) == nullptr)
         return nullptr;
-    const session::CallerSession::Parts parts {*router_, catalogue_, ports_.thread.timers(),
+    const session::CallerSession::Parts parts {*router_, catalogue_, ports_.timers,
                                                ports_.log, ports_.metrics};
     return std::make_shared<session::CallerSession>(parts, ++lastSession_, database, output);
 }
@@ -136,7 +122,7 @@
     if (draining_)
         return;
     draining_ = true;
-    drainBegan_ = ports_.thread.timers().now();
+    drainBegan_ = ports_.timers.now();
     whenDrained_ = std::move(whenDone);
     ports_.log.info("drain").with("sessions", std::uint64_t(callers_->count()));
     drainStep();
@@ -144,7 +130,7 @@
 
 void HostProcess::drainStep()
 {
-    const Duration passed = ports_.thread.timers().now() - drainBegan_;
+    const Duration passed = ports_.timers.now() - drainBegan_;
     // 1. Groups go to others at once; callers go on coming until the balancer has noticed.
     groups_->handOverAll(peers_);
     // 2. Then sessions end between operations.
@@ -156,7 +142,7 @@
     const bool empty = passed >= balancerNotices && callers_->count() == 0 && groups_->isQuiet()
         && router_->inProgress() == 0;
     if (!empty && passed < settings_.grace - leftAtEnd) {
-        ports_.thread.timers().subscribeAfter(drainStepPeriod, [this] { drainStep(); });
+        ports_.timers.subscribeAfter(drainStepPeriod, [this] { drainStep(); });
         return;
     }
     ports_.log.info("drained")
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "core/dutythread.h"
 #include "group/grouphost.h"
 #include "group/nearreads.h"
 #include "group/serverlist.h"
-#include "inner/websocketlinks.h"
+#include "inner/peerlink.h"
 #include "session/callersession.h"
 #include "session/router.h"
 #include "settings/hostsettings.h"
@@ -32,9 +31,16 @@
 class HostProcess : public inner::PeerEvents
 {
 public:
+    // Makes the links to other processes; called once, at the start.
+    using MakeLinks = std::function<absl::StatusOr<std::unique_ptr<inner::PeerLinks>>(
+        const ProcessId &self, std::function<ConfigVersion()> configVersion,
+        inner::PeerEvents &events)>;
+
     struct Ports
     {
-        DutyThread &thread;
+        TimerService &timers;
+        MakeLinks makeLinks;
+        group::PrimaryKeeper::Prober probe;
         services::TableService &table;
         services::TableFeed &feed;
         group::ServerConnector &connector;
@@ -59,6 +65,9 @@
     // Whether anything is known yet, so that unknown databases can be told from early callers.
     bool knowsCatalogue() const { return catalogue_.get() != nullptr; }
 
+    session::Router &router() { return *router_; }
+    group::GroupHost &groups() { return *groups_; }
+
     // Empty when the balancer should send callers here, else why not.
     std::string notReady() const;
 
--- /dev/null
+++ b/tests/host/modelservers.cpp
@@ -0,0 +1,480 @@
+#include "modelservers.h"
+
+#include <algorithm>
+
+namespace kelptally::model {
+
+namespace {
+
+using group::CommandKind;
+using group::CommandResult;
+using group::ServerCommand;
+using group::ServerError;
+
+constexpr Duration networkDelay = std::chrono::milliseconds(1);
+constexpr Duration workTime = std::chrono::milliseconds(4);
+constexpr Duration promoteTime = std::chrono::milliseconds(300);
+
+} // namespace
+
+// One connection of one process. Commands run one after the other.
+class ModelConnection : public group::ServerConnection,
+                        public std::enable_shared_from_this<ModelConnection>
+{
+public:
+    ModelConnection(ModelGroup &group, std::string from, ServerName server)
+        : group_(group), from_(std::move(from)), server_(std::move(server))
+    { }
+
+    void run(std::vector<ServerCommand> batch, group::BatchCallback callback) override
+    {
+        batch_ = std::move(batch);
+        callback_ = std::move(callback);
+        result_ = {};
+        const auto self = shared_from_this();
+        if (!open_)
+            return after(Duration(0), [self] { self->end(); });
+        after(networkDelay, [self] { self->step(0); });
+    }
+
+    void close() override
+    {
+        onEnd_ = nullptr;
+        const auto self = shared_from_this();
+        after(Duration(0), [self] { self->end(); });
+        open_ = false;
+    }
+    bool isOpen() const override { return open_; }
+    void onEnd(std::function<void()> callback) override { onEnd_ = std::move(callback); }
+
+    // The server or the way to it has broken the connection.
+    void end()
+    {
+        open_ = false;
+        group_.servers().at(server_).connections.erase(shared_from_this());
+        inTransaction_ = false;
+        if (callback_) {
+            const auto callback = std::move(callback_);
+            callback_ = nullptr;
+            result_.lost = true;
+            callback(std::move(result_));
+        }
+        if (onEnd_) {
+            const auto callback = std::move(onEnd_);
+            onEnd_ = nullptr;
+            callback();
+        }
+    }
+
+private:
+    void after(Duration delay, std::function<void()> what)
+    {
+        group_.timers_.subscribeAfter(delay, std::move(what));
+    }
+
+    ModelServer &server() { return group_.servers().at(server_); }
+
+    void step(std::size_t index)
+    {
+        // A dark server or way answers nothing at all.
+        if (!callback_ || !server().running || !group_.isReachable(from_, server_))
+            return;
+        const ServerCommand &command = batch_[index];
+        const bool works = command.kind == CommandKind::Statement
+            || command.kind == CommandKind::ExecutePrepared;
+        const auto self = shared_from_this();
+        after(works ? workTime : Duration(0), [self, index] { self->execute(index); });
+    }
+
+    void execute(std::size_t index)
+    {
+        if (!callback_ || !server().running)
+            return;
+        const ServerCommand &command = batch_[index];
+        CommandResult result;
+        const bool commits = command.text == "COMMIT"
+            || (command.text.compare(0, 5, "WRITE") == 0 && !inTransaction_);
+        if (command.kind == CommandKind::Statement && commits && check(command, result)) {
+            if (command.text != "COMMIT" || wrote_)
+                return commit(index, command.id);
+            inTransaction_ = false;
+            result.signature = "s" + command.id;
+        } else if (result.error == ServerError::None) {
+            perform(command, result);
+        }
+        answer(index, std::move(result));
+    }
+
+    // Whether the server may run the command at all.
+    bool check(const ServerCommand &command, CommandResult &result)
+    {
+        ModelServer &s = server();
+        const bool plain = inTransaction_ && !readOnly_;
+        const bool writes = command.kind == CommandKind::Begin
+            || command.text.compare(0, 5, "WRITE") == 0 || (plain && command.text != "COMMIT")
+            || (command.text == "COMMIT" && wrote_);
+        if (writes && !s.primary) {
+            result.error = ServerError::ReadOnly;
+            return false;
+        }
+        if (command.after) {
+            const auto held = s.position(s.applied);
+            const bool has = command.after->offset == 0
+                || (command.after->offset <= s.applied
+                    && s.log[command.after->offset - 1].term == command.after->term)
+                || (command.after->offset <= s.applied && command.after->term < held.term);
+            if (!has) {
+                result.error = ServerError::Lagging;
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void perform(const ServerCommand &command, CommandResult &result)
+    {
+        ModelServer &s = server();
+        switch (command.kind) {
+        case CommandKind::Begin:
+        case CommandKind::BeginReadOnly:
+            if (!check(command, result))
+                return;
+            inTransaction_ = true;
+            wrote_ = false;
+            readOnly_ = command.kind == CommandKind::BeginReadOnly;
+            return;
+        case CommandKind::Rollback:
+            inTransaction_ = false;
+            return;
+        case CommandKind::Statement:
+        case CommandKind::ExecutePrepared:
+            if (!check(command, result))
+                return;
+            if (command.text.compare(0, 5, "WRITE") == 0)
+                wrote_ = true;
+            // A read gives the ids of everything that it sees.
+            for (std::size_t i = 0; i < s.applied; ++i)
+                result.rows.push_back(s.log[i].id);
+            result.signature = "s" + command.id;
+            return;
+        case CommandKind::StopReceiving:
+            if (!s.primary && command.term > std::max(s.term, s.stoppedUnder))
+                s.stoppedUnder = command.term;
+            break;
+        case CommandKind::ResumeReceiving:
+            s.stoppedUnder = 0;
+            break;
+        case CommandKind::StepDown:
+            if (s.primary && s.term < command.term)
+                s.primary = false;
+            break;
+        default:
+            return;
+        case CommandKind::Report:
+            break;
+        }
+        group::ServerReport report;
+        report.primary = s.primary;
+        report.term = s.term;
+        report.received = s.position(s.log.size());
+        report.stoppedUnder = s.stoppedUnder;
+        result.report = report;
+    }
+
+    void commit(std::size_t index, const std::string &id)
+    {
+        ModelServer &s = server();
+        s.log.push_back({s.term, id});
+        s.applied = s.log.size();
+        ++group_.commits;
+        inTransaction_ = false;
+        const auto self = shared_from_this();
+        group_.waiting_.push_back({server_, s.log.size(), [self, index, id] {
+                                       CommandResult result;
+                                       result.signature = "s" + id;
+                                       self->answer(index, std::move(result));
+                                   }});
+        group_.replicate(server_);
+    }
+
+    void answer(std::size_t index, CommandResult result)
+    {
+        ModelServer &s = server();
+        result.position = s.position(s.applied);
+        result.inTransaction = inTransaction_ && result.error == ServerError::None;
+        result.idle = !inTransaction_;
+        const auto self = shared_from_this();
+        result_.results.push_back(std::move(result));
+        if (index + 1 < batch_.size())
+            return step(index + 1);
+        if (!group_.isReachable(from_, server_))
+            return;
+        after(networkDelay, [self] {
+            if (!self->callback_)
+                return;
+            const auto callback = std::move(self->callback_);
+            self->callback_ = nullptr;
+            callback(std::move(self->result_));
+        });
+    }
+
+    ModelGroup &group_;
+    const std::string from_;
+    const ServerName server_;
+    std::vector<ServerCommand> batch_;
+    group::BatchCallback callback_;
+    group::BatchResult result_;
+    std::function<void()> onEnd_;
+    bool open_ = true;
+    bool inTransaction_ = false;
+    bool readOnly_ = false;
+    bool wrote_ = false;
+};
+
+ModelGroup::ModelGroup(ManualTimerService &timers, GroupName name, Violations &violations)
+    : timers_(timers), name_(std::move(name)), violations_(violations)
+{
+    for (int i = 1; i <= 3; ++i) {
+        ModelServer server;
+        server.id = name_ + "-" + std::to_string(i);
+        server.endpoint = server.id + ":1";
+        server.zone = "zone-" + std::to_string(i);
+        server.primary = i == 1;
+        servers_[server.id] = server;
+    }
+}
+
+std::vector<group::ListedServer> ModelGroup::listed() const
+{
+    std::vector<group::ListedServer> list;
+    for (const auto &[id, server] : servers_) {
+        group::ListedServer listed;
+        listed.id = id;
+        listed.group = name_;
+        listed.endpoint = server.endpoint;
+        listed.zone = server.zone;
+        listed.slots = 3;
+        listed.leaving = server.leaving;
+        listed.primary = server.primary;
+        list.push_back(listed);
+    }
+    return list;
+}
+
+bool ModelGroup::isReachable(const std::string &from, const ServerName &id) const
+{
+    return cuts.count({from, id}) == 0;
+}
+
+ServerName ModelGroup::primary() const
+{
+    ServerName best;
+    Term term = 0;
+    for (const auto &[id, server] : servers_)
+        if (server.primary && server.term > term) {
+            best = id;
+            term = server.term;
+        }
+    return best;
+}
+
+void ModelGroup::crash(const ServerName &id)
+{
+    ModelServer &server = servers_.at(id);
+    server.running = false;
+    const auto connections = server.connections;
+    for (const auto &connection : connections)
+        connection->end();
+}
+
+void ModelGroup::restart(const ServerName &id)
+{
+    ModelServer &server = servers_.at(id);
+    server.running = true;
+    server.applied = server.log.size();
+    server.stoppedUnder = 0;
+    for (const auto &[other, each] : servers_)
+        if (other != id && each.primary && each.term > server.term)
+            server.primary = false;
+    const ServerName leader = primary();
+    if (!leader.empty())
+        replicate(leader);
+}
+
+// Replicas receive what the primary has, and apply it later.
+void ModelGroup::replicate(const ServerName &primaryId)
+{
+    timers_.subscribeAfter(networkDelay, [this, primaryId] {
+        ModelServer &source = servers_.at(primaryId);
+        if (!source.running || !source.primary)
+            return;
+        for (auto &[id, replica] : servers_) {
+            if (id == primaryId || !replica.running || replica.deaf || replica.primary
+                || replica.term > source.term || replicationCuts.count(id) != 0
+                || replicationCuts.count(primaryId) != 0 || replica.stoppedUnder > source.term)
+                continue;
+            // What the primary does not have is rolled back.
+            std::size_t same = 0;
+            while (same < replica.log.size() && same < source.log.size()
+                   && replica.log[same].term == source.log[same].term
+                   && replica.log[same].id == source.log[same].id)
+                ++same;
+            replica.log.resize(same);
+            replica.applied = std::min(replica.applied, same);
+            replica.log.insert(replica.log.end(), source.log.begin() + long(same),
+                               source.log.end());
+            replica.term = source.term;
+            const std::size_t length = replica.log.size();
+            timers_.subscribeAfter(replica.lag, [&replica, length] {
+                replica.applied = std::min(std::max(replica.applied, length), replica.log.size());
+            });
+        }
+        confirm(primaryId);
+    });
+}
+
+// Commits that some replica has received are acknowledged.
+void ModelGroup::confirm(const ServerName &primaryId)
+{
+    const ModelServer &source = servers_.at(primaryId);
+    std::vector<std::function<void()>> done;
+    for (auto at = waiting_.begin(); at != waiting_.end();) {
+        bool received = false;
+        for (const auto &[id, replica] : servers_) {
+            const std::size_t i = at->length - 1;
+            received = received
+                || (id != primaryId && replica.running && replica.log.size() >= at->length
+                    && replica.log[i].term == source.log[i].term
+                    && replica.log[i].id == source.log[i].id);
+        }
+        if (at->primary != primaryId || !received) {
+            ++at;
+            continue;
+        }
+        done.push_back(std::move(at->done));
+        at = waiting_.erase(at);
+    }
+    for (const auto &each : done)
+        each();
+}
+
+group::PromotionOutcome ModelGroup::promote(const ServerName &id, OwnerEpoch token)
+{
+    if (token < highestToken_)
+        violations_.add("a fencing token went down: " + std::to_string(token) + " after "
+                        + std::to_string(highestToken_));
+    highestToken_ = std::max(highestToken_, token);
+    if (!servers_.at(id).running)
+        return group::PromotionOutcome::NotRunning;
+    if (primary() == id)
+        return group::PromotionOutcome::Accepted;
+    if (!promoting_) {
+        promoting_ = true;
+        timers_.subscribeAfter(promoteTime, [this, id] { lead(id); });
+    }
+    return group::PromotionOutcome::Accepted;
+}
+
+void ModelGroup::lead(const ServerName &id)
+{
+    promoting_ = false;
+    ModelServer &server = servers_.at(id);
+    if (!server.running)
+        return;
+    ++promotions;
+    Term highest = 0;
+    for (const auto &[other, each] : servers_)
+        highest = std::max(highest, each.term);
+    server.primary = true;
+    server.term = highest + 1;
+    server.stoppedUnder = 0;
+    server.applied = server.log.size();
+    for (const auto &[committed, at] : acknowledged_) {
+        const bool held = std::any_of(server.log.begin(), server.log.end(),
+                                      [&](const LogEntry &entry) { return entry.id == committed; });
+        if (!held)
+            violations_.add("acknowledged commit " + committed + " is not in the log of "
+                            + server.id + ", which was promoted");
+    }
+    // The others receive again. An old primary learns of it after a while, if it can.
+    for (auto &[other, each] : servers_)
+        if (other != id)
+            each.stoppedUnder = 0;
+    const Term term = server.term;
+    timers_.subscribeAfter(std::chrono::seconds(1), [this, id, term] {
+        for (auto &[other, each] : servers_)
+            if (other != id && each.running && each.term < term
+                && replicationCuts.count(other) == 0)
+                each.primary = false;
+        replicate(id);
+    });
+    replicate(id);
+}
+
+void ModelGroup::onAcknowledged(const std::string &id)
+{
+    acknowledged_[id] = timers_.now();
+    const ServerName leader = primary();
+    const auto &log = servers_.at(leader).log;
+    const bool held = std::any_of(log.begin(), log.end(),
+                                  [&](const LogEntry &entry) { return entry.id == id; });
+    if (!held)
+        violations_.add("commit " + id + " was acknowledged, and the primary does not have it");
+}
+
+std::vector<std::string> ModelGroup::acknowledgedBefore(Instant instant) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, at] : acknowledged_)
+        if (at < instant)
+            ids.push_back(id);
+    return ids;
+}
+
+bool ModelGroup::isCommitted(const std::string &id) const
+{
+    const auto &log = servers_.at(primary()).log;
+    return std::any_of(log.begin(), log.end(),
+                       [&](const LogEntry &entry) { return entry.id == id; });
+}
+
+std::unique_ptr<group::ServerConnector> ModelGroup::connector(const std::string &from)
+{
+    class Connector : public group::ServerConnector
+    {
+    public:
+        Connector(ModelGroup &group, std::string from) : group_(group), from_(std::move(from)) { }
+
+        void connect(const group::ServerAddress &server, Duration timeout,
+                     group::ServerConnectCallback callback) override
+        {
+            ModelServer &target = group_.servers().at(server.id);
+            ManualTimerService &timers = group_.timers_;
+            if (!group_.isReachable(from_, server.id)) {
+                timers.subscribeAfter(
+                    timeout, [callback] { callback(group::ConnectOutcome::Silent, nullptr); });
+                return;
+            }
+            if (!target.running) {
+                timers.subscribeAfter(networkDelay, [callback] {
+                    callback(group::ConnectOutcome::Refused, nullptr);
+                });
+                return;
+            }
+            const auto connection = std::make_shared<ModelConnection>(group_, from_, server.id);
+            target.connections.insert(connection);
+            timers.subscribeAfter(networkDelay, [callback, connection] {
+                callback(connection->isOpen() ? group::ConnectOutcome::Ok
+                                              : group::ConnectOutcome::Failed,
+                         connection->isOpen() ? connection : nullptr);
+            });
+        }
+
+    private:
+        ModelGroup &group_;
+        const std::string from_;
+    };
+    return std::make_unique<Connector>(*this, from);
+}
+
+} // namespace kelptally::model
--- /dev/null
+++ b/tests/host/modelservers.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "core/manualtimerservice.h"
+#include "group/serverport.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+// Database servers of one group that exist in memory only, on a manual clock: a log with terms,
+// synchronous confirmation by one replica, lag, and the commands of a change of primary.
+namespace kelptally::model {
+
+struct LogEntry
+{
+    Term term = 0;
+    // Id of the statement that committed it.
+    std::string id;
+};
+
+class ModelConnection;
+
+struct ModelServer
+{
+    ServerName id;
+    std::string endpoint;
+    ZoneName zone;
+    bool running = true;
+    bool primary = false;
+    Term term = 1;
+    // Everything received; a read sees the applied part.
+    std::vector<LogEntry> log;
+    std::size_t applied = 0;
+    Term stoppedUnder = 0;
+    Duration lag {std::chrono::milliseconds(20)};
+    // Receives nothing from the primary, though it runs.
+    bool deaf = false;
+    bool leaving = false;
+    std::set<std::shared_ptr<ModelConnection>> connections;
+
+    Position position(std::size_t count) const
+    {
+        return {count == 0 ? 1 : log[count - 1].term, count};
+    }
+};
+
+// What the servers and their callers are found to have done wrong.
+struct Violations
+{
+    std::vector<std::string> all;
+    void add(const std::string &what) { all.push_back(what); }
+};
+
+class ModelGroup
+{
+public:
+    ModelGroup(ManualTimerService &timers, GroupName name, Violations &violations);
+
+    GroupName name() const { return name_; }
+    std::map<ServerName, ModelServer> &servers() { return servers_; }
+    std::vector<group::ListedServer> listed() const;
+
+    void crash(const ServerName &id);
+    // Comes back with its log.
+    void restart(const ServerName &id);
+    ServerName primary() const;
+
+    // The promotion call of one process; checks the fencing token.
+    group::PromotionOutcome promote(const ServerName &id, OwnerEpoch token);
+
+    // A write was acknowledged to its caller at this time.
+    void onAcknowledged(const std::string &id);
+    // Acknowledged before the instant.
+    std::vector<std::string> acknowledgedBefore(Instant instant) const;
+    bool isCommitted(const std::string &id) const;
+    bool isReachable(const std::string &from, const ServerName &id) const;
+    // Processes by their address that are cut off from a server.
+    std::set<std::pair<std::string, ServerName>> cuts;
+    // Replicas that are cut off from the primary.
+    std::set<ServerName> replicationCuts;
+
+    std::unique_ptr<group::ServerConnector> connector(const std::string &from);
+
+    int promotions = 0;
+    int commits = 0;
+
+private:
+    friend class ModelConnection;
+
+    void replicate(const ServerName &primaryId);
+    void lead(const ServerName &id);
+    void confirm(const ServerName &primaryId);
+
+    ManualTimerService &timers_;
+    const GroupName name_;
+    Violations &violations_;
+    std::map<ServerName, ModelServer> servers_;
+    // Commits that wait for a replica: primary, log length, what to do.
+    struct Waiting
+    {
+        ServerName primary;
+        std::size_t length;
+        std::function<void()> done;
+    };
+    std::vector<Waiting> waiting_;
+    std::map<std::string, Instant> acknowledged_;
+    OwnerEpoch highestToken_ = 0;
+    bool promoting_ = false;
+};
+
+} // namespace kelptally::model
--- /dev/null
+++ b/tests/host/world.cpp
@@ -0,0 +1,592 @@
+#include "world.h"
+
+namespace kelptally::model {
+
+namespace {
+
+constexpr Duration storeDelay = std::chrono::milliseconds(4);
+constexpr Duration storeTimeout = std::chrono::seconds(2);
+constexpr Duration linkDelay = std::chrono::milliseconds(1);
+
+EventLog &sharedLog()
+{
+    static EventLogOptions options = [] {
+        EventLogOptions quiet;
+        quiet.level = LogLevel::Error;
+        if (std::getenv("WORLD_LOG") != nullptr) {
+            quiet.level = LogLevel::Info;
+            quiet.linesPerSecond = 100'000;
+            quiet.queueLines = 1 << 20;
+        }
+        return quiet;
+    }();
+    static EventLog log(options);
+    return log;
+}
+
+} // namespace
+
+// The clock of one host: nothing fires while it is frozen or dead.
+class HostTimers : public TimerService
+{
+public:
+    explicit HostTimers(ManualTimerService &timers) : timers_(timers) { }
+
+    Instant now() const override { return timers_.now(); }
+    TimerId subscribeAt(Instant when, Callback callback) override
+    {
+        const TimerId id = ++lastId_;
+        callbacks_[id] = {std::move(callback), Duration(0)};
+        arm(id, when);
+        return id;
+    }
+    TimerId subscribeEvery(Duration period, Callback callback) override
+    {
+        const TimerId id = ++lastId_;
+        callbacks_[id] = {std::move(callback), period};
+        arm(id, now() + period);
+        return id;
+    }
+    void cancel(TimerId id) override { callbacks_.erase(id); }
+
+    // Runs something on the host once it is not frozen.
+    void post(std::function<void()> what) { subscribeAt(now(), std::move(what)); }
+
+    Instant frozenUntil {};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+private:
+    struct Entry
+    {
+        Callback callback;
+        Duration period {0};
+    };
+
+    void arm(TimerId id, Instant when)
+    {
+        timers_.subscribeAt(when, [this, alive = alive, id] {
+            if (!*alive || callbacks_.count(id) == 0)
+                return;
+            if (now() < frozenUntil)
+                return arm(id, frozenUntil);
+            const Entry entry = callbacks_.at(id);
+            if (entry.period == Duration(0))
+                callbacks_.erase(id);
+            else
+                arm(id, now() + entry.period);
+            entry.callback();
+        });
+    }
+
+    ManualTimerService &timers_;
+    TimerId lastId_ = 0;
+    std::map<TimerId, Entry> callbacks_;
+};
+
+// One host with its ports. Destroyed when it is killed.
+struct ModelHost : public services::TableService,
+                   public services::TableFeed,
+                   public group::PromotionService,
+                   public host::CallerConnections
+{
+    ModelHost(World &theWorld, std::size_t theIndex, std::uint64_t theRun);
+    ~ModelHost() override { *timers.alive = false; }
+
+    // Store
+    bool reachesStore() const { return up && !isCut && world.store.cut.count(address) == 0; }
+    void call(std::function<absl::Status()> work, bool write,
+              std::function<void(absl::Status)> answer);
+    void read(const std::string &table, const std::string &key,
+              services::RowCallback callback) override;
+    void list(const std::string &, const std::string &, services::RowsCallback) override { }
+    void write(std::vector<services::ConditionalWrite> writes,
+               services::WriteCallback callback) override;
+    void snapshot(const std::string &table, services::SnapshotCallback callback) override;
+    void changes(const std::string &table, std::uint64_t after, Duration wait,
+                 services::ChangesCallback callback) override;
+
+    // Promotion
+    void promote(const GroupName &, const ServerName &server, OwnerEpoch token, Duration timeout,
+                 std::function<void(group::PromotionOutcome)> callback) override;
+
+    // Callers
+    void stopAccepting() override { }
+    void closeIdle(std::size_t) override { }
+    std::size_t count() const override { return 0; }
+
+    World &world;
+    const std::size_t index;
+    const std::string address;
+    HostTimers timers;
+    Metrics metrics;
+    bool up = true;
+    bool isCut = false;
+    std::unique_ptr<group::ServerConnector> connector;
+    struct Links;
+    Links *links = nullptr;
+    std::unique_ptr<host::HostProcess> process;
+};
+
+// Links of one host: delivered with a delay unless an end is cut off or gone.
+struct ModelHost::Links : public inner::PeerLinks
+{
+    Links(ModelHost &theHost, const ProcessId &theSelf, inner::PeerEvents &theEvents)
+        : host(theHost), self(theSelf), events(theEvents)
+    { }
+
+    ModelHost *other(const std::string &to)
+    {
+        for (const auto &each : host.world.hosts)
+            if (each && each->up && each->address == to)
+                return each.get();
+        return nullptr;
+    }
+
+    void connect(const std::string &to) override
+    {
+        targets.insert(to);
+        dial(to);
+    }
+    void drop(const std::string &to) override { targets.erase(to); }
+
+    void dial(const std::string &to)
+    {
+        ModelHost *target = other(to);
+        const bool reachable = target != nullptr && target->links != nullptr && !host.isCut
+            && !target->isCut;
+        if (!reachable) {
+            host.timers.subscribeAfter(std::chrono::milliseconds(60), [this, to] {
+                if (targets.count(to) != 0)
+                    dial(to);
+            });
+            return;
+        }
+        const inner::LinkId link = ++lastLink;
+        Links *there = target->links;
+        ends[link] = to;
+        there->ends[link] = host.address;
+        byAddress[to] = link;
+        host.timers.subscribeAfter(linkDelay, [this, link, to, process = there->self] {
+            inner::Hello hello;
+            hello.process = process;
+            hello.zone = "zone-1";
+            if (ends.count(link) != 0)
+                events.onPeerUp(link, hello);
+        });
+        target->timers.subscribeAfter(linkDelay, [there, link, mine = self] {
+            inner::Hello hello;
+            hello.process = mine;
+            hello.zone = "zone-1";
+            if (there->ends.count(link) != 0)
+                there->events.onPeerUp(link, hello);
+        });
+    }
+
+    absl::Status sendTo(const std::string &to, inner::Message message) override
+    {
+        const auto link = byAddress.find(to);
+        if (link == byAddress.end() || ends.count(link->second) == 0)
+            return absl::UnavailableError("no link");
+        return sendOn(link->second, std::move(message));
+    }
+
+    absl::Status sendOn(inner::LinkId link, inner::Message message) override
+    {
+        const auto end = ends.find(link);
+        if (end == ends.end())
+            return absl::UnavailableError("no link");
+        ModelHost *target = other(end->second);
+        // Lost on the way: the sender notices by silence.
+        if (target == nullptr || host.isCut || target->isCut)
+            return absl::OkStatus();
+        target->timers.subscribeAfter(linkDelay, [target, link, message = std::move(message)] {
+            if (target->links->ends.count(link) != 0)
+                target->links->events.onPeerMessage(link, message);
+        });
+        return absl::OkStatus();
+    }
+
+    // The process at the other end has ended.
+    void onGone(const std::string &address)
+    {
+        std::vector<inner::LinkId> gone;
+        for (const auto &[link, to] : ends)
+            if (to == address)
+                gone.push_back(link);
+        for (const inner::LinkId link : gone) {
+            ends.erase(link);
+            host.timers.subscribeAfter(linkDelay, [this, link, address] {
+                events.onPeerDown(link, address, absl::UnavailableError("closed"));
+                if (targets.count(address) != 0)
+                    dial(address);
+            });
+        }
+    }
+
+    static inline inner::LinkId lastLink = 0;
+    ModelHost &host;
+    const ProcessId self;
+    inner::PeerEvents &events;
+    std::set<std::string> targets;
+    std::map<inner::LinkId, std::string> ends;
+    std::map<std::string, inner::LinkId> byAddress;
+};
+
+ModelHost::ModelHost(World &theWorld, std::size_t theIndex, std::uint64_t theRun)
+    : world(theWorld), index(theIndex), address("10.0.0." + std::to_string(theIndex + 1) + ":1"),
+      timers(theWorld.timers), connector(theWorld.group.connector(address))
+{
+    settings::HostSettings settings;
+    settings.host = "host-" + std::to_string(index);
+    settings.zone = "zone-" + std::to_string(index % 3 + 1);
+    settings.address = "10.0.0." + std::to_string(index + 1);
+    settings.peerPort = 1;
+    host::HostProcess::Ports ports {
+        timers,
+        [this, theRun](const ProcessId &self, const std::function<ConfigVersion()> &,
+                       inner::PeerEvents &events)
+            -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
+            ProcessId run = self;
+            run.incarnation += theRun;
+            auto made = std::make_unique<Links>(*this, run, events);
+            links = made.get();
+            return std::unique_ptr<inner::PeerLinks>(std::move(made));
+        },
+        [this](const std::string &endpoint, Duration timeout,
+               std::function<void(ProbeOutcome)> callback) {
+            ProbeOutcome outcome = ProbeOutcome::Silent;
+            for (const auto &[id, server] : world.group.servers())
+                if (server.endpoint == endpoint && world.group.isReachable(address, id) && !isCut)
+                    outcome = server.running ? ProbeOutcome::Accepted : ProbeOutcome::Refused;
+            for (const auto &host : world.hosts)
+                if (host && host->address == endpoint && !host->isCut && !isCut)
+                    outcome = host->up ? ProbeOutcome::Accepted : ProbeOutcome::Refused;
+            const Duration delay = outcome == ProbeOutcome::Silent ? timeout : linkDelay;
+            timers.subscribeAfter(delay, [callback, outcome] { callback(outcome); });
+        },
+        *this, *this, *connector, *this, sharedLog(), metrics};
+    process = std::make_unique<host::HostProcess>(settings, ports);
+    const absl::Status started = process->start(*this);
+    if (!started.ok())
+        throw std::runtime_error(std::string(started.message()));
+    auto catalogue = std::make_shared<session::Catalogue>();
+    catalogue->version = 1;
+    session::Route route;
+    route.group = world.group.name();
+    catalogue->routes["main"] = route;
+    catalogue->groups[route.group] = {20, true};
+    process->onCatalogue(catalogue);
+    for (const group::ListedServer &server : world.group.listed())
+        process->servers().onListed(server);
+}
+
+// One call to the store. What it does, it does when it arrives; the answer may be lost.
+void ModelHost::call(std::function<absl::Status()> work, bool isWrite,
+                     std::function<void(absl::Status)> answer)
+{
+    if (!reachesStore()) {
+        timers.subscribeAfter(storeTimeout,
+                              [answer] { answer(absl::DeadlineExceededError("no answer")); });
+        return;
+    }
+    world.timers.subscribeAfter(storeDelay / 2, [this, alive = timers.alive, work, isWrite, answer] {
+        if (world.store.down) {
+            if (*alive)
+                timers.subscribeAfter(storeDelay / 2,
+                                      [answer] { answer(absl::UnavailableError("refused")); });
+            return;
+        }
+        const absl::Status status = work();
+        std::uniform_real_distribution<double> chance(0, 1);
+        const bool lost = isWrite && chance(world.random) < world.store.lostAnswers;
+        if (!*alive)
+            return;
+        if (lost || !reachesStore()) {
+            timers.subscribeAfter(storeTimeout,
+                                  [answer] { answer(absl::DeadlineExceededError("lost")); });
+            return;
+        }
+        timers.subscribeAfter(storeDelay / 2, [answer, status] { answer(status); });
+    });
+}
+
+void ModelHost::read(const std::string &table, const std::string &key,
+                     services::RowCallback callback)
+{
+    const auto found = std::make_shared<std::optional<services::TableRow>>();
+    call(
+        [this, table, key, found] {
+            const auto row = world.store.tables[table].find(key);
+            if (row != world.store.tables[table].end())
+                *found = services::TableRow {key, row->second.value,
+                                             std::to_string(row->second.version),
+                                             world.timers.now().time_since_epoch()};
+            return absl::OkStatus();
+        },
+        false,
+        [found, callback](const absl::Status &status) {
+            if (!status.ok())
+                return callback(status);
+            callback(*found);
+        });
+}
+
+void ModelHost::write(std::vector<services::ConditionalWrite> writes,
+                      services::WriteCallback callback)
+{
+    const auto tags = std::make_shared<std::vector<std::string>>();
+    call(
+        [this, writes, tags]() -> absl::Status {
+            for (const auto &write : writes) {
+                const auto &rows = world.store.tables[write.table];
+                const auto row = rows.find(write.key);
+                const std::string version =
+                    row == rows.end() ? std::string() : std::to_string(row->second.version);
+                if (version != write.expectedEtag.value_or(""))
+                    return absl::FailedPreconditionError("changed");
+            }
+            ++world.store.version;
+            for (const auto &write : writes) {
+                world.store.tables[write.table][write.key] = {write.value, world.store.version};
+                tags->push_back(std::to_string(world.store.version));
+            }
+            return absl::OkStatus();
+        },
+        true,
+        [tags, callback](const absl::Status &status) {
+            if (!status.ok())
+                return callback(status);
+            callback(*tags);
+        });
+}
+
+void ModelHost::snapshot(const std::string &table, services::SnapshotCallback callback)
+{
+    const auto result = std::make_shared<services::TableSnapshot>();
+    call(
+        [this, table, result] {
+            result->next = world.store.version;
+            for (const auto &[key, row] : world.store.tables[table])
+                result->rows.push_back({key, row.value, std::to_string(row.version)});
+            return absl::OkStatus();
+        },
+        false,
+        [result, callback](const absl::Status &status) {
+            if (!status.ok())
+                return callback(status);
+            callback(*result);
+        });
+}
+
+void ModelHost::changes(const std::string &table, std::uint64_t after, Duration wait,
+                        services::ChangesCallback callback)
+{
+    const auto result = std::make_shared<services::TableChanges>();
+    call(
+        [this, table, after, result] {
+            result->next = world.store.version;
+            for (const auto &[key, row] : world.store.tables[table])
+                if (row.version > after)
+                    result->changes.push_back({{key, row.value, std::to_string(row.version)}});
+            return absl::OkStatus();
+        },
+        false,
+        [this, table, after, wait, result, callback](const absl::Status &status) {
+            if (!status.ok())
+                return callback(status);
+            if (!result->changes.empty() || wait <= Duration(0))
+                return callback(*result);
+            // Looks again a little later, as an open call would.
+            constexpr Duration again = std::chrono::milliseconds(5);
+            timers.subscribeAfter(again, [this, table, after, wait, again, callback] {
+                changes(table, after, wait - again, callback);
+            });
+        });
+}
+
+void ModelHost::promote(const GroupName &, const ServerName &server, OwnerEpoch token,
+                        Duration timeout, std::function<void(group::PromotionOutcome)> callback)
+{
+    if (isCut) {
+        timers.subscribeAfter(timeout, [callback] { callback(group::PromotionOutcome::Unknown); });
+        return;
+    }
+    world.timers.subscribeAfter(linkDelay, [this, alive = timers.alive, server, token, callback] {
+        const auto outcome = world.group.promote(server, token);
+        if (*alive)
+            timers.subscribeAfter(linkDelay, [callback, outcome] { callback(outcome); });
+    });
+}
+
+World::World(std::uint64_t seed, int count) : random(seed)
+{
+    hosts.resize(std::size_t(count));
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+        hosts[i] = std::make_unique<ModelHost>(*this, i, 1);
+}
+
+World::~World()
+{
+    for (auto &host : hosts)
+        if (host)
+            *host->timers.alive = false;
+}
+
+bool World::runUntil(Duration time, const std::function<bool()> &condition)
+{
+    const Instant end = timers.now() + time;
+    while (!condition()) {
+        if (timers.now() >= end)
+            return false;
+        timers.advance(std::chrono::milliseconds(1));
+    }
+    return true;
+}
+
+bool World::isUp(std::size_t host) const
+{
+    return hosts[host] && hosts[host]->up;
+}
+
+// The process ends: its connections are reset and its state is gone.
+void World::kill(std::size_t host)
+{
+    ModelHost &dead = *hosts[host];
+    dead.up = false;
+    *dead.timers.alive = false;
+    for (const auto &other : hosts)
+        if (other && other->up && !other->isCut && !dead.isCut && other->links != nullptr)
+            other->links->onGone(dead.address);
+}
+
+void World::restart(std::size_t host)
+{
+    static std::uint64_t run = 1;
+    const bool wasCut = hosts[host]->isCut;
+    // Callbacks of the old run may still be on their way through the model; it stays in memory.
+    static std::vector<std::unique_ptr<ModelHost>> dead;
+    dead.push_back(std::move(hosts[host]));
+    hosts[host] = std::make_unique<ModelHost>(*this, host, ++run);
+    hosts[host]->isCut = wasCut;
+}
+
+void World::freeze(std::size_t host, Duration time)
+{
+    hosts[host]->timers.frozenUntil = timers.now() + time;
+}
+
+void World::cut(std::size_t host, bool isCut)
+{
+    hosts[host]->isCut = isCut;
+    for (const auto &[id, server] : group.servers()) {
+        if (isCut)
+            group.cuts.insert({hosts[host]->address, id});
+        else
+            group.cuts.erase({hosts[host]->address, id});
+    }
+}
+
+int World::owner() const
+{
+    const auto table = store.tables.find("kelptally_owners");
+    if (table == store.tables.end() || table->second.count(group.name()) == 0)
+        return -1;
+    const auto record = kelptally::group::decodeOwnership(table->second.at(group.name()).value);
+    for (std::size_t i = 0; record.ok() && i < hosts.size(); ++i)
+        if (hosts[i] && hosts[i]->address == record->owner.address)
+            return int(i);
+    return -1;
+}
+
+void World::list()
+{
+    for (const auto &host : hosts)
+        if (host && host->up)
+            for (const kelptally::group::ListedServer &server : group.listed())
+                host->process->servers().onListed(server);
+}
+
+void World::drain(std::size_t host)
+{
+    hosts[host]->process->drain([] {});
+}
+
+World::OutcomePtr World::write(std::size_t host)
+{
+    const auto outcome = std::make_shared<Outcome>();
+    inner::RunStatement statement;
+    statement.group = group.name();
+    statement.session = ++lastStatement_;
+    statement.verb = inner::SessionVerb::Write;
+    statement.statementId = "w" + std::to_string(lastStatement_);
+    statement.text = "WRITE item data";
+    statement.timeLeft = std::chrono::milliseconds(800);
+    statement.objective = std::chrono::milliseconds(200);
+    const std::string id = statement.statementId;
+    hosts[host]->process->router().run(std::move(statement), [this, outcome, id](auto done) {
+        outcome->done = true;
+        outcome->result = std::move(done);
+        if (outcome->result.reason == Reason::None) {
+            ++acknowledged;
+            group.onAcknowledged(id);
+        } else if (outcome->result.executed == Executed::No) {
+            ++refused;
+            refusedIds_.push_back(id);
+        } else {
+            ++unknown;
+        }
+    });
+    return outcome;
+}
+
+World::OutcomePtr World::read(std::size_t host, inner::ReadRule rule, Duration maxAge)
+{
+    const auto outcome = std::make_shared<Outcome>();
+    inner::RunStatement statement;
+    statement.group = group.name();
+    statement.session = ++lastStatement_;
+    statement.statementId = "r" + std::to_string(lastStatement_);
+    statement.text = "READ item";
+    statement.rule = rule;
+    statement.maxAge = maxAge;
+    statement.timeLeft = std::chrono::milliseconds(800);
+    statement.objective = std::chrono::milliseconds(200);
+    const Instant began = timers.now();
+    const std::vector<std::string> required = group.acknowledgedBefore(began - maxAge);
+    const std::string id = statement.statementId;
+    hosts[host]->process->router().run(std::move(statement), [this, outcome, required, id](
+                                                                 auto done) {
+        outcome->done = true;
+        outcome->result = std::move(done);
+        if (outcome->result.reason != Reason::None)
+            return;
+        ++reads;
+        const std::set<std::string> seen(outcome->result.rows.begin(), outcome->result.rows.end());
+        for (const std::string &needed : required)
+            if (seen.count(needed) == 0)
+                violations.add("read " + id + " lacks " + needed);
+    });
+    return outcome;
+}
+
+std::optional<Duration> World::timeToWrite(std::size_t host, Duration limit)
+{
+    const Instant began = timers.now();
+    while (timers.now() - began < limit) {
+        const OutcomePtr attempt = write(host);
+        runUntil(std::chrono::seconds(1), [&] { return attempt->done; });
+        if (attempt->done && attempt->result.reason == Reason::None)
+            return timers.now() - began;
+        run(std::chrono::milliseconds(10));
+    }
+    return std::nullopt;
+}
+
+void World::checkRefused()
+{
+    for (const std::string &id : refusedIds_)
+        if (group.isCommitted(id))
+            violations.add("statement " + id + " was refused as not run, and is committed");
+}
+
+} // namespace kelptally::model
--- /dev/null
+++ b/tests/host/world.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "host/hostprocess.h"
+#include "modelservers.h"
+
+#include <random>
+
+// A whole small deployment on a manual clock: hosts with the real process logic, a store, links and
+// one group of servers, with faults that a test injects.
+namespace kelptally::model {
+
+class World;
+
+// The platform's rows, as all hosts share them.
+struct ModelStore
+{
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+    std::map<std::string, std::map<std::string, Row>> tables;
+    std::uint64_t version = 0;
+    // Refuses every host.
+    bool down = false;
+    // Hosts, by address, that it does not answer.
+    std::set<std::string> cut;
+    // Part of the writes that are done and not answered.
+    double lostAnswers = 0;
+};
+
+struct ModelHost;
+
+class World
+{
+public:
+    explicit World(std::uint64_t seed, int hosts = 3);
+    ~World();
+
+    ManualTimerService timers;
+    Violations violations;
+    ModelGroup group {timers, "cases", violations};
+    ModelStore store;
+    std::mt19937_64 random;
+    std::vector<std::unique_ptr<ModelHost>> hosts;
+
+    void run(Duration time) { timers.advance(time); }
+    // Runs until the condition holds; false when it does not within the time.
+    bool runUntil(Duration time, const std::function<bool()> &condition);
+
+    // Host faults, by index.
+    void kill(std::size_t host);
+    void restart(std::size_t host);
+    void freeze(std::size_t host, Duration time);
+    // The host reaches nothing and nothing reaches it.
+    void cut(std::size_t host, bool cut);
+    bool isUp(std::size_t host) const;
+    // Index of the host that owns the group by the store's row; -1 when none.
+    int owner() const;
+    void list();
+    // A planned stop of the host.
+    void drain(std::size_t host);
+
+    struct Outcome
+    {
+        bool done = false;
+        inner::StatementDone result;
+    };
+    using OutcomePtr = std::shared_ptr<Outcome>;
+
+    // Statements at one host. Reads are checked when they are answered.
+    OutcomePtr write(std::size_t host);
+    OutcomePtr read(std::size_t host, inner::ReadRule rule, Duration maxAge = {});
+    // Writes at a host again and again until one is acknowledged; how long that took.
+    std::optional<Duration> timeToWrite(std::size_t host, Duration limit);
+
+    // Everything that was said not to have run has not.
+    void checkRefused();
+
+    int acknowledged = 0;
+    int refused = 0;
+    int unknown = 0;
+    int reads = 0;
+
+private:
+    std::uint64_t lastStatement_ = 0;
+    std::vector<std::string> refusedIds_;
+};
+
+} // namespace kelptally::model
--- /dev/null
+++ b/tests/host/world_test.cpp
@@ -0,0 +1,300 @@
+#include "world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A world in which a write has been acknowledged.
+void settle(World &world)
+{
+    REQUIRE(world.timeToWrite(0, 5s));
+    world.run(500ms);
+}
+
+std::size_t otherThan(int host)
+{
+    return host == 0 ? 1 : 0;
+}
+
+void checkRight(World &world)
+{
+    world.checkRefused();
+    CHECK(world.violations.all == std::vector<std::string>());
+}
+
+} // namespace
+
+TEST_CASE("A calm deployment serves writes and all kinds of reads at every host")
+{
+    World world(1);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host) {
+        CHECK(world.timeToWrite(host, 1s));
+        for (const inner::ReadRule rule :
+             {inner::ReadRule::Newest, inner::ReadRule::Bounded, inner::ReadRule::OwnWrites}) {
+            const auto read = world.read(host, rule, 1s);
+            CHECK(world.runUntil(300ms, [&] { return read->done; }));
+            CHECK(read->result.reason == Reason::None);
+        }
+    }
+    checkRight(world);
+}
+
+TEST_CASE("A killed owner is followed within a second")
+{
+    World world(2);
+    settle(world);
+    const int owner = world.owner();
+    REQUIRE(owner >= 0);
+    world.kill(std::size_t(owner));
+    const auto gap = world.timeToWrite(otherThan(owner), 5s);
+    REQUIRE(gap);
+    CHECK(*gap < 1s);
+    CHECK(world.owner() != owner);
+    checkRight(world);
+}
+
+TEST_CASE("A frozen owner is followed within a second and a half, and does no harm when it wakes")
+{
+    World world(3);
+    settle(world);
+    const int owner = world.owner();
+    world.freeze(std::size_t(owner), 4s);
+    const auto gap = world.timeToWrite(otherThan(owner), 5s);
+    REQUIRE(gap);
+    CHECK(*gap < 1500ms);
+    for (int i = 0; i < 40; ++i) {
+        world.write(otherThan(owner));
+        world.read(std::size_t(owner), inner::ReadRule::Newest);
+        world.run(150ms);
+    }
+    world.run(2s);
+    checkRight(world);
+}
+
+TEST_CASE("An owner that is cut off from everything is followed, and hears of it afterwards")
+{
+    World world(4);
+    settle(world);
+    const int owner = world.owner();
+    world.cut(std::size_t(owner), true);
+    const auto gap = world.timeToWrite(otherThan(owner), 5s);
+    REQUIRE(gap);
+    CHECK(*gap < 1500ms);
+    world.run(3s);
+    world.cut(std::size_t(owner), false);
+    world.run(4s);
+    CHECK(world.timeToWrite(std::size_t(owner), 2s));
+    checkRight(world);
+}
+
+TEST_CASE("After all hosts were killed at once, service is back within two seconds of their return")
+{
+    World world(5);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host)
+        world.kill(host);
+    world.run(1s);
+    for (std::size_t host = 0; host < 3; ++host)
+        world.restart(host);
+    const auto gap = world.timeToWrite(0, 5s);
+    REQUIRE(gap);
+    CHECK(*gap < 2s);
+    checkRight(world);
+}
+
+TEST_CASE("A crashed primary is replaced and nothing acknowledged is lost")
+{
+    World world(6);
+    settle(world);
+    for (int i = 0; i < 20; ++i) {
+        world.write(std::size_t(i % 3));
+        world.run(7ms);
+    }
+    const ServerName lost = world.group.primary();
+    world.group.crash(lost);
+    const auto gap = world.timeToWrite(0, 5s);
+    REQUIRE(gap);
+    // Detection under half a second, 300 ms to promote, and 200 ms.
+    CHECK(*gap < 1s);
+    CHECK(world.group.promotions == 1);
+    world.group.restart(lost);
+    world.run(2s);
+    CHECK(world.timeToWrite(0, 1s));
+    CHECK(!world.group.servers().at(lost).primary);
+    checkRight(world);
+}
+
+TEST_CASE("A primary that only this owner cannot reach acknowledges nothing after its replacement")
+{
+    World world(7);
+    settle(world);
+    const int owner = world.owner();
+    const ServerName old = world.group.primary();
+    world.group.cuts.insert({"10.0.0." + std::to_string(owner + 1) + ":1", old});
+    const auto gap = world.timeToWrite(otherThan(owner), 6s);
+    REQUIRE(gap);
+    CHECK(world.group.promotions == 1);
+    for (int i = 0; i < 30; ++i) {
+        world.read(std::size_t(i % 3), inner::ReadRule::Newest);
+        world.write(std::size_t(i % 3));
+        world.run(50ms);
+    }
+    checkRight(world);
+}
+
+TEST_CASE("A replica that received nothing is not promoted over one that did")
+{
+    World world(8);
+    settle(world);
+    ServerName deaf;
+    for (auto &[id, server] : world.group.servers())
+        if (!server.primary && deaf.empty()) {
+            server.deaf = true;
+            deaf = id;
+        }
+    for (int i = 0; i < 20; ++i) {
+        world.write(0);
+        world.run(10ms);
+    }
+    world.group.crash(world.group.primary());
+    CHECK(world.runUntil(3s, [&] { return world.group.promotions == 1; }));
+    CHECK(world.group.primary() != deaf);
+    // It confirms again, so that writes can be acknowledged at all.
+    world.group.servers().at(deaf).deaf = false;
+    CHECK(world.timeToWrite(0, 5s));
+    checkRight(world);
+}
+
+TEST_CASE("While primary and the only replica that has everything are gone nothing is promoted")
+{
+    World world(9);
+    settle(world);
+    ServerName deaf;
+    ServerName whole;
+    for (auto &[id, server] : world.group.servers())
+        if (!server.primary) {
+            (deaf.empty() ? deaf : whole) = id;
+            server.deaf = server.id == deaf;
+        }
+    for (int i = 0; i < 20; ++i) {
+        world.write(0);
+        world.run(10ms);
+    }
+    const ServerName old = world.group.primary();
+    world.group.crash(whole);
+    world.group.crash(old);
+    CHECK(!world.timeToWrite(0, 4s));
+    CHECK(world.group.promotions == 0);
+    world.group.restart(old);
+    world.group.restart(whole);
+    CHECK(world.timeToWrite(0, 4s));
+    checkRight(world);
+}
+
+TEST_CASE("A leaving primary is replaced without a failed write")
+{
+    World world(10);
+    settle(world);
+    const ServerName old = world.group.primary();
+    world.group.servers().at(old).leaving = true;
+    world.list();
+    std::vector<World::OutcomePtr> writes;
+    for (int i = 0; i < 150; ++i) {
+        writes.push_back(world.write(std::size_t(i % 3)));
+        world.run(10ms);
+    }
+    world.run(1s);
+    CHECK(world.group.promotions == 1);
+    CHECK(world.group.primary() != old);
+    for (const auto &write : writes)
+        CHECK(write->result.reason == Reason::None);
+    checkRight(world);
+}
+
+TEST_CASE("With the store down service goes on, and an owner is followed once it is back")
+{
+    World world(11);
+    settle(world);
+    world.store.down = true;
+    for (int i = 0; i < 40; ++i) {
+        const auto write = world.write(std::size_t(i % 3));
+        CHECK(world.runUntil(300ms, [&] { return write->done; }));
+        CHECK(write->result.reason == Reason::None);
+        world.run(200ms);
+    }
+    const int owner = world.owner();
+    world.kill(std::size_t(owner));
+    CHECK(!world.timeToWrite(otherThan(owner), 2s));
+    world.store.down = false;
+    const auto gap = world.timeToWrite(otherThan(owner), 5s);
+    REQUIRE(gap);
+    CHECK(*gap < 1500ms);
+    checkRight(world);
+}
+
+TEST_CASE("An owner without its lease sends nothing")
+{
+    World world(12);
+    settle(world);
+    world.store.down = true;
+    world.run(15s);
+    const auto read = world.read(0, inner::ReadRule::Newest);
+    CHECK(world.runUntil(1s, [&] { return read->done; }));
+    CHECK(read->result.reason != Reason::None);
+    CHECK(read->result.executed == Executed::No);
+    world.store.down = false;
+    CHECK(world.timeToWrite(0, 5s));
+    checkRight(world);
+}
+
+TEST_CASE("A host that the store turns away finds the new owner through its peers")
+{
+    World world(13);
+    settle(world);
+    const int owner = world.owner();
+    const std::size_t away = otherThan(owner);
+    const std::size_t third = std::size_t(3 - owner - int(away));
+    CHECK(world.timeToWrite(away, 1s));
+    CHECK(world.timeToWrite(third, 1s));
+    const auto near = world.hosts.size();
+    REQUIRE(near == 3);
+    world.store.cut.insert("10.0.0." + std::to_string(away + 1) + ":1");
+    // A planned change of owner: the old one stays and knows the new one.
+    world.drain(std::size_t(owner));
+    CHECK(world.runUntil(2s, [&] { return world.owner() != owner; }));
+    if (world.owner() != int(away))
+        CHECK(world.timeToWrite(away, 2s));
+    checkRight(world);
+}
+
+TEST_CASE("Owner and primary lost together: the primary changes only after the lease or its proof")
+{
+    World world(14);
+    settle(world);
+    const int owner = world.owner();
+    const std::size_t other = otherThan(owner);
+    world.cut(std::size_t(owner), true);
+    world.group.crash(world.group.primary());
+    const auto gap = world.timeToWrite(other, 30s);
+    REQUIRE(gap);
+    CHECK(*gap > 10s);
+    checkRight(world);
+}
+
+TEST_CASE("Owner killed and primary crashed together: a refused connection is proof enough")
+{
+    World world(15);
+    settle(world);
+    const int owner = world.owner();
+    world.group.crash(world.group.primary());
+    world.kill(std::size_t(owner));
+    const auto gap = world.timeToWrite(otherThan(owner), 30s);
+    REQUIRE(gap);
+    CHECK(*gap < 3s);
+    checkRight(world);
+}
