--- /dev/null
+++ b/tests/host/soak.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "world.h"
+
+namespace kelptally::model {
+
+struct SoakResult
+{
+    std::vector<std::string> violations;
+    // After the end of all faults a write was acknowledged in time.
+    bool recovered = false;
+    Duration recovery {0};
+    int acknowledged = 0;
+    int refused = 0;
+    int unknown = 0;
+    int reads = 0;
+    int promotions = 0;
+};
+
+// One random schedule of faults and statements; the same for the same seed.
+SoakResult soak(std::uint64_t seed);
+
+} // namespace kelptally::model
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -428,8 +428,7 @@
 World::~World()
 {
     for (auto &host : hosts)
-        if (host)
-            *host->timers.alive = false;
+        *host->timers.alive = false;
 }
 
 bool World::runUntil(Duration time, const std::function<bool()> &condition)
@@ -463,9 +462,7 @@
 {
     static std::uint64_t run = 1;
     const bool wasCut = hosts[host]->isCut;
-    // Callbacks of the old run may still be on their way through the model; it stays in memory.
-    static std::vector<std::unique_ptr<ModelHost>> dead;
-    dead.push_back(std::move(hosts[host]));
+    dead_.push_back(std::move(hosts[host]));
     hosts[host] = std::make_unique<ModelHost>(*this, host, ++run);
     hosts[host]->isCut = wasCut;
 }
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -85,6 +85,8 @@
 private:
     std::uint64_t lastStatement_ = 0;
     std::vector<std::string> refusedIds_;
+    // Earlier runs of hosts: callbacks of theirs may still be on their way through the model.
+    std::vector<std::unique_ptr<ModelHost>> dead_;
 };
 
 } // namespace kelptally::model
