--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -59,9 +59,10 @@
 } // namespace
 
 GroupRunner::GroupRunner(const Parts &parts, const GroupName &group)
-    : parts_(parts), group_(group), keeper_({parts.timers, parts.ownership, parts.promotions,
-                                             parts.log, parts.metrics, parts.probe},
-                                            group, servers_, *this)
+    : parts_(parts), group_(group),
+      keeper_({parts.timers, parts.ownership, parts.promotions, parts.log, parts.metrics,
+               parts.probe, [this] { return oldestWrite(); }},
+              group, servers_, *this)
 { }
 
 GroupRunner::~GroupRunner()
@@ -139,6 +140,18 @@
     return !active_ && running_.empty() && transactions_.empty();
 }
 
+std::optional<Instant> GroupRunner::oldestWrite() const
+{
+    std::optional<Instant> oldest;
+    for (const JobPtr &job : running_) {
+        const bool commits = job->statement.verb == inner::SessionVerb::Commit
+            || (!job->statement.inTransaction && !isRead(job->statement));
+        if (commits && job->server == keeper_.primary() && (!oldest || job->sentAt < *oldest))
+            oldest = job->sentAt;
+    }
+    return oldest;
+}
+
 void GroupRunner::closeAll()
 {
     for (const auto &[id, server] : servers_)
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -136,6 +136,7 @@
     void dropServer(const ServerName &id);
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
     Duration retryHint() const;
+    std::optional<Instant> oldestWrite() const;
     GroupServer *find(const ServerName &id);
 
     const Parts parts_;
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -47,6 +47,7 @@
     writer.member("primary", record.primary);
     writer.member("term", record.term);
     writer.member("candidate", record.candidate);
+    writer.member("primary_serves", record.primaryServes);
     writer.member("guarded_until_ms",
                   std::int64_t(record.guardedUntil / std::chrono::milliseconds(1)));
     writer.endObject();
@@ -69,6 +70,8 @@
     if (const JsonValue *term = json->find("term"))
         record.term = static_cast<Term>(term->toInteger());
     record.candidate = json->textOf("candidate");
+    if (const JsonValue *serves = json->find("primary_serves"))
+        record.primaryServes = serves->boolean;
     if (const JsonValue *until = json->find("guarded_until_ms"))
         record.guardedUntil = std::chrono::milliseconds(until->toInteger());
     return record;
@@ -128,7 +131,7 @@
     record.epoch = owner.epoch;
     record.owner = owner.process;
     // Only its own reading of the row makes this process an owner.
-    if (owner.process == parts_.self)
+    if (owner.process.address == parts_.self.address)
         return refreshOwner(group);
     applyRecord(group, record, std::string());
 }
@@ -153,7 +156,8 @@
     if (entry.known && record.epoch < entry.record.epoch)
         return;
     const bool owned = owns(group);
-    const bool changed = !entry.known || record.epoch != entry.record.epoch;
+    const bool changed =
+        !entry.known || record.epoch != entry.record.epoch || record.owner != entry.record.owner;
     // The own row is changed by this process alone, which knows what it wrote.
     if (owned && !changed)
         return;
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -24,6 +24,8 @@
     Term term = 0;
     // Named before the platform is told to promote it; it may lead at any moment from then on.
     ServerName candidate;
+    // The old primary goes on serving under this owner until the candidate leads.
+    bool primaryServes = false;
     // Until then, by the service's clock, owners before this one may still act.
     Duration guardedUntil {0};
 };
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// Longest time in which replicas may be stopped for a planned change, and the pause before another
+// attempt: the primary can't acknowledge by a stopped replica.
+constexpr Duration plannedStopTime = std::chrono::milliseconds(700);
+constexpr Duration plannedPause = std::chrono::milliseconds(500);
 // How often the machine looks at its servers. A tick costs some microseconds.
 constexpr Duration tickPeriod = std::chrono::milliseconds(25);
 // A server that owes an answer and says nothing for this long is probed; the longest statements of
@@ -17,6 +21,9 @@
 // A primary whose machine accepts connections but which answers nothing.
 constexpr Duration hungAfter = std::chrono::milliseconds(2500);
 // A quiet primary is asked for a report this often, so that its loss is seen without traffic.
+// A write that waits this long makes the replicas be looked at; the longest statements in use take
+// less.
+constexpr Duration unconfirmedAfter = std::chrono::milliseconds(250);
 constexpr Duration quietPeriod = std::chrono::milliseconds(800);
 // Somebody else was heard within this time: this process is not the one that is cut off.
 constexpr Duration othersWithin = std::chrono::milliseconds(500);
@@ -127,8 +134,8 @@
         awaitLead(now);
         break;
     }
-    if (!toSettle_.empty() && now - looseSince_ >= askPeriod)
-        demoteOthers();
+    if (!toSettle_.empty() && now - settledAt_ >= askPeriod)
+        settleOthers();
 }
 
 void PrimaryKeeper::ask(GroupServer &server, CommandKind kind, Term term, Duration timeout,
@@ -182,11 +189,17 @@
     // 1. A primary of a lower term than the row's was replaced.
     if (report.term < record->term)
         return;
-    // 2. While an earlier owner's candidate may lead at any moment, the old primary is no longer
-    // safe to read at.
-    const bool underWay = !record->candidate.empty() && report.term <= record->term;
-    if (underWay && !parts_.ownership.isAlone(group_))
-        return;
+    // 2. An owner before this one has begun a change, and its candidate may lead at any moment.
+    if (!record->candidate.empty()) {
+        const Instant now = parts_.timers.now();
+        const bool isOld = report.term <= record->term;
+        // It may still serve at the old primary, so that nobody may acknowledge at another one.
+        if (record->primaryServes && !parts_.ownership.isAlone(group_))
+            return;
+        // The old primary leads on only once a call that was sent can't take effect any more.
+        if (isOld && (aloneSince_ == Instant() || now - aloneSince_ < leadTimeout))
+            return;
+    }
     lead(server, report.term);
 }
 
@@ -202,7 +215,7 @@
     for (const auto &[id, other] : servers_)
         if (id != server)
             toSettle_.insert(id);
-    looseSince_ = Instant();
+    settledAt_ = Instant();
     const OwnershipRecord *record = parts_.ownership.record(group_);
     if (record != nullptr && (record->term != term || record->primary != server))
         parts_.ownership.change(
@@ -211,6 +224,7 @@
                 row.primary = server;
                 row.term = term;
                 row.candidate.clear();
+                row.primaryServes = false;
             },
             [](const absl::Status &) {});
     events_.onPrimary(server);
@@ -232,8 +246,9 @@
     if (!knowsAll_ && aloneSince_ != Instant() && server->lastHeard() > aloneSince_ + probeAfter)
         knowsAll_ = true;
     // 2. A leaving primary is replaced while it serves.
-    if (server->listed().leaving && servers_.size() > 1)
+    if (server->listed().leaving && servers_.size() > 1 && now >= plannedAfter_)
         return beginChange("leaving", true);
+    watchConfirmations(now);
     // 3. Silence.
     const auto owesSince = server->owesSince();
     if (!owesSince) {
@@ -254,6 +269,18 @@
         beginChange(quiet >= hungAfter ? "hung" : "silent", false);
 }
 
+// A primary whose replicas receive nothing acknowledges no write, though it answers all else: a
+// command of an earlier owner or change may have stopped them late.
+void PrimaryKeeper::watchConfirmations(Instant now)
+{
+    const auto oldest = parts_.oldestWrite();
+    if (!oldest || now - *oldest < unconfirmedAfter || !toSettle_.empty())
+        return;
+    for (const auto &[id, server] : servers_)
+        if (id != primary_)
+            toSettle_.insert(id);
+}
+
 void PrimaryKeeper::probePrimary(GroupServer &server)
 {
     probing_ = true;
@@ -351,6 +378,7 @@
     excluded_.clear();
     candidate_.clear();
     othersStoppedAt_ = Instant();
+    called_ = false;
     stopTerm_ = std::max(highestTerm_, term_) + 1;
     askedAt_ = Instant();
     if (!planned) {
@@ -393,6 +421,23 @@
     }
     if (mayChange)
         chooseCandidate(now);
+    if (step_ == Step::StoppingReplicas && planned_ && inStep(now) >= plannedStopTime)
+        abandonPlanned();
+}
+
+// The replicas cannot be brought to where the change is safe: the primary serves on meanwhile, with
+// all of them, and another candidate is tried a little later.
+void PrimaryKeeper::abandonPlanned()
+{
+    parts_.log.info("planned_change_abandoned").with("group", group_).with("candidate", candidate_);
+    avoided_ = candidate_;
+    plannedAfter_ = parts_.timers.now() + plannedPause;
+    planned_ = false;
+    candidate_.clear();
+    for (const auto &[id, server] : servers_)
+        if (id != primary_)
+            toSettle_.insert(id);
+    enter(Step::Leading);
 }
 
 void PrimaryKeeper::onStopped(const ServerName &server, const ServerReport &report, Instant asked)
@@ -404,7 +449,8 @@
         return;
     // The old primary is back, or another leads already.
     const bool leads = report.primary && report.term >= term_;
-    if (leads && !planned_)
+    // Once a call was sent, only a server of a later term leads.
+    if (leads && !planned_ && (!called_ || report.term > term_))
         return cancelChange(server);
     if (leads && server != oldPrimary_)
         return cancelChange(server);
@@ -416,7 +462,7 @@
             stopped_[server] = report;
     } else if (planned_ && candidate_.empty()) {
         // The first one that answers and is not on its way out itself.
-        if (!found->listed().leaving && excluded_.count(server) == 0)
+        if (!found->listed().leaving && server != avoided_)
             candidate_ = server;
     } else if (planned_ && server == candidate_) {
         stopped_[server] = report;
@@ -465,16 +511,21 @@
     // it does so only if it reaches the highest acknowledgement, and all passed here.
     const ServerReport *best = nullptr;
     std::size_t replicas = 0;
+    // One that failed as a candidate still counts by its position: if it holds the most, it is the
+    // one again.
+    const auto preferred = [this](const ServerName &id) {
+        return excluded_.count(id) == 0 && !servers_.at(id)->listed().leaving;
+    };
     for (const auto &[id, server] : servers_) {
         if (id == oldPrimary_)
             continue;
         ++replicas;
         const auto found = stopped_.find(id);
-        if (found == stopped_.end() || excluded_.count(id) != 0)
+        if (found == stopped_.end())
             continue;
-        const bool better = best == nullptr || best->received < found->second.received
-            || (best->received == found->second.received
-                && servers_.at(candidate_)->listed().leaving);
+        const Position received = found->second.received;
+        const bool better = best == nullptr || best->received < received
+            || (best->received == received && !preferred(candidate_) && preferred(id));
         if (!better)
             continue;
         best = &found->second;
@@ -507,9 +558,11 @@
     const std::uint64_t change = change_;
     const ServerName candidate = candidate_;
     const Term term = term_;
+    const bool serves = !primary_.empty();
     parts_.ownership.change(
         group_,
-        [candidate, term](OwnershipRecord &row) {
+        [candidate, term, serves](OwnershipRecord &row) {
+            row.primaryServes = serves;
             row.candidate = candidate;
             row.term = std::max(row.term, term);
         },
@@ -537,6 +590,7 @@
         return;
     }
     calledAt_ = parts_.timers.now();
+    called_ = true;
     const std::uint64_t change = change_;
     parts_.promotions.promote(group_, candidate_, record->epoch, callTimeout,
                               [this, alive = alive_, change](PromotionOutcome outcome) {
@@ -626,9 +680,9 @@
 }
 
 // An old primary steps down, and replicas receive again.
-void PrimaryKeeper::demoteOthers()
+void PrimaryKeeper::settleOthers()
 {
-    looseSince_ = parts_.timers.now();
+    settledAt_ = parts_.timers.now();
     if (step_ != Step::Leading)
         return;
     const std::set<ServerName> servers = toSettle_;
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -44,6 +44,8 @@
         EventLog &log;
         Metrics &metrics;
         Prober probe;
+        // Since when the oldest write has waited for its server's answer; nothing when none does.
+        std::function<std::optional<Instant>()> oldestWrite;
     };
 
     PrimaryKeeper(const Parts &parts, const GroupName &group, GroupServers &servers,
@@ -96,12 +98,14 @@
     void onStopped(const ServerName &server, const ServerReport &report, Instant asked);
     void chooseCandidate(Instant now);
     bool othersHaveStopped() const;
+    void abandonPlanned();
     void cancelChange(const std::string &why);
     void recordCandidate();
     void call();
     void awaitLead(Instant now);
     void onCandidateReport(const ServerReport &report);
-    void demoteOthers();
+    void settleOthers();
+    void watchConfirmations(Instant now);
     void ask(GroupServer &server, CommandKind kind, Term term, Duration timeout,
              std::function<void(const ServerReport &)> callback);
     void noteTerm(Term term) { highestTerm_ = std::max(highestTerm_, term); }
@@ -130,13 +134,18 @@
     Term stopTerm_ = 0;
     std::map<ServerName, ServerReport> stopped_;
     std::set<ServerName> excluded_;
+    // Candidate of the planned change that came to nothing last, and when the next may begin.
+    ServerName avoided_;
+    Instant plannedAfter_ {};
     ServerName oldPrimary_;
     ServerName candidate_;
     // When the replicas other than the candidate had all stopped, in a planned change.
     Instant othersStoppedAt_ {};
     Instant calledAt_ {};
+    // The platform has been told to promote in this change.
+    bool called_ = false;
     Instant askedAt_ {};
-    Instant looseSince_ {};
+    Instant settledAt_ {};
     bool probing_ = false;
     Instant probedAt_ {};
     Instant acceptedAt_ {};
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -47,7 +47,8 @@
 absl::Status HostProcess::start(CallerConnections &callers)
 {
     callers_ = &callers;
-    auto links = ports_.makeLinks(self_, [this] { return catalogue_.version(); }, *this);
+    auto links = ports_.makeLinks(
+        self_, [this] { return catalogue_.version(); }, *this);
     if (!links.ok())
         return links.status();
     links_ = *std::move(links);
@@ -97,8 +98,8 @@
 {
     if (catalogue_.route(database) == nullptr)
         return nullptr;
-    const session::CallerSession::Parts parts {*router_, catalogue_, ports_.timers,
-                                               ports_.log, ports_.metrics};
+    const session::CallerSession::Parts parts {*router_, catalogue_, ports_.timers, ports_.log,
+                                               ports_.metrics};
     return std::make_shared<session::CallerSession>(parts, ++lastSession_, database, output);
 }
 
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -80,8 +80,8 @@
         if (!callback_ || !server().running || !group_.isReachable(from_, server_))
             return;
         const ServerCommand &command = batch_[index];
-        const bool works = command.kind == CommandKind::Statement
-            || command.kind == CommandKind::ExecutePrepared;
+        const bool works =
+            command.kind == CommandKind::Statement || command.kind == CommandKind::ExecutePrepared;
         const auto self = shared_from_this();
         after(works ? workTime : Duration(0), [self, index] { self->execute(index); });
     }
@@ -416,8 +416,8 @@
     acknowledged_[id] = timers_.now();
     const ServerName leader = primary();
     const auto &log = servers_.at(leader).log;
-    const bool held = std::any_of(log.begin(), log.end(),
-                                  [&](const LogEntry &entry) { return entry.id == id; });
+    const bool held =
+        std::any_of(log.begin(), log.end(), [&](const LogEntry &entry) { return entry.id == id; });
     if (!held)
         violations_.add("commit " + id + " was acknowledged, and the primary does not have it");
 }
--- a/tests/host/soak.cpp
+++ b/tests/host/soak.cpp
@@ -32,6 +32,8 @@
         const auto recovery = world_.timeToWrite(0, 20s);
         result.recovered = recovery.has_value();
         result.recovery = recovery.value_or(Duration(0));
+        if (!recovery && std::getenv("WORLD_DUMP"))
+            world_.dump();
         world_.run(2s);
         world_.checkRefused();
         result.violations = world_.violations.all;
@@ -44,7 +46,10 @@
     }
 
 private:
-    bool chance(double part) { return std::uniform_real_distribution<double>(0, 1)(random_) < part; }
+    bool chance(double part)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(random_) < part;
+    }
     std::size_t below(std::size_t bound)
     {
         return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
@@ -131,12 +136,12 @@
             return healAfter(time, [&model] { model.lag = 20ms; });
         case 9:
             world_.group.cuts.insert({addressOf(host), server});
-            return healAfter(
-                time, [this, host, server] { world_.group.cuts.erase({addressOf(host), server}); });
+            return healAfter(time, [this, host, server] {
+                world_.group.cuts.erase({addressOf(host), server});
+            });
         case 10:
             world_.group.replicationCuts.insert(server);
-            return healAfter(time,
-                             [this, server] { world_.group.replicationCuts.erase(server); });
+            return healAfter(time, [this, server] { world_.group.replicationCuts.erase(server); });
         default:
             model.leaving = true;
             world_.list();
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -152,8 +152,8 @@
     void dial(const std::string &to)
     {
         ModelHost *target = other(to);
-        const bool reachable = target != nullptr && target->links != nullptr && !host.isCut
-            && !target->isCut;
+        const bool reachable =
+            target != nullptr && target->links != nullptr && !host.isCut && !target->isCut;
         if (!reachable) {
             host.timers.subscribeAfter(std::chrono::milliseconds(60), [this, to] {
                 if (targets.count(to) != 0)
@@ -243,9 +243,9 @@
     settings.peerPort = 1;
     host::HostProcess::Ports ports {
         timers,
-        [this, theRun](const ProcessId &self, const std::function<ConfigVersion()> &,
-                       inner::PeerEvents &events)
-            -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
+        [this,
+         theRun](const ProcessId &self, const std::function<ConfigVersion()> &,
+                 inner::PeerEvents &events) -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
             ProcessId run = self;
             run.incarnation += theRun;
             auto made = std::make_unique<Links>(*this, run, events);
@@ -264,7 +264,12 @@
             const Duration delay = outcome == ProbeOutcome::Silent ? timeout : linkDelay;
             timers.subscribeAfter(delay, [callback, outcome] { callback(outcome); });
         },
-        *this, *this, *connector, *this, sharedLog(), metrics};
+        *this,
+        *this,
+        *connector,
+        *this,
+        sharedLog(),
+        metrics};
     process = std::make_unique<host::HostProcess>(settings, ports);
     const absl::Status started = process->start(*this);
     if (!started.ok())
@@ -289,25 +294,26 @@
                               [answer] { answer(absl::DeadlineExceededError("no answer")); });
         return;
     }
-    world.timers.subscribeAfter(storeDelay / 2, [this, alive = timers.alive, work, isWrite, answer] {
-        if (world.store.down) {
-            if (*alive)
-                timers.subscribeAfter(storeDelay / 2,
-                                      [answer] { answer(absl::UnavailableError("refused")); });
-            return;
-        }
-        const absl::Status status = work();
-        std::uniform_real_distribution<double> chance(0, 1);
-        const bool lost = isWrite && chance(world.random) < world.store.lostAnswers;
-        if (!*alive)
-            return;
-        if (lost || !reachesStore()) {
-            timers.subscribeAfter(storeTimeout,
-                                  [answer] { answer(absl::DeadlineExceededError("lost")); });
-            return;
-        }
-        timers.subscribeAfter(storeDelay / 2, [answer, status] { answer(status); });
-    });
+    world.timers.subscribeAfter(
+        storeDelay / 2, [this, alive = timers.alive, work, isWrite, answer] {
+            if (world.store.down) {
+                if (*alive)
+                    timers.subscribeAfter(storeDelay / 2,
+                                          [answer] { answer(absl::UnavailableError("refused")); });
+                return;
+            }
+            const absl::Status status = work();
+            std::uniform_real_distribution<double> chance(0, 1);
+            const bool lost = isWrite && chance(world.random) < world.store.lostAnswers;
+            if (!*alive)
+                return;
+            if (lost || !reachesStore()) {
+                timers.subscribeAfter(storeTimeout,
+                                      [answer] { answer(absl::DeadlineExceededError("lost")); });
+                return;
+            }
+            timers.subscribeAfter(storeDelay / 2, [answer, status] { answer(status); });
+        });
 }
 
 void ModelHost::read(const std::string &table, const std::string &key,
@@ -318,9 +324,9 @@
         [this, table, key, found] {
             const auto row = world.store.tables[table].find(key);
             if (row != world.store.tables[table].end())
-                *found = services::TableRow {key, row->second.value,
-                                             std::to_string(row->second.version),
-                                             world.timers.now().time_since_epoch()};
+                *found =
+                    services::TableRow {key, row->second.value, std::to_string(row->second.version),
+                                        world.timers.now().time_since_epoch()};
             return absl::OkStatus();
         },
         false,
@@ -551,18 +557,19 @@
     const Instant began = timers.now();
     const std::vector<std::string> required = group.acknowledgedBefore(began - maxAge);
     const std::string id = statement.statementId;
-    hosts[host]->process->router().run(std::move(statement), [this, outcome, required, id](
-                                                                 auto done) {
-        outcome->done = true;
-        outcome->result = std::move(done);
-        if (outcome->result.reason != Reason::None)
-            return;
-        ++reads;
-        const std::set<std::string> seen(outcome->result.rows.begin(), outcome->result.rows.end());
-        for (const std::string &needed : required)
-            if (seen.count(needed) == 0)
-                violations.add("read " + id + " lacks " + needed);
-    });
+    hosts[host]->process->router().run(
+        std::move(statement), [this, outcome, required, id](auto done) {
+            outcome->done = true;
+            outcome->result = std::move(done);
+            if (outcome->result.reason != Reason::None)
+                return;
+            ++reads;
+            const std::set<std::string> seen(outcome->result.rows.begin(),
+                                             outcome->result.rows.end());
+            for (const std::string &needed : required)
+                if (seen.count(needed) == 0)
+                    violations.add("read " + id + " lacks " + needed);
+        });
     return outcome;
 }
 
@@ -587,3 +594,27 @@
 }
 
 } // namespace kelptally::model
+
+#include <iostream>
+namespace kelptally::model {
+void World::dump()
+{
+    std::cerr << "row " << store.tables["kelptally_owners"]["cases"].value << "\n";
+    for (auto &h : hosts) {
+        auto &o = h->process->groups().ownership();
+        const auto *r = o.record("cases");
+        std::cerr << h->address << " up " << h->up << " cut " << h->isCut << " ready "
+                  << o.isReady() << " owns " << o.owns("cases") << " rec "
+                  << (r ? kelptally::group::encodeOwnership(*r) : "-") << " lease "
+                  << toMilliseconds(o.leaseLeft("cases")) << " alone " << o.isAlone("cases")
+                  << " storecut " << store.cut.count(h->address) << " frozen "
+                  << (h->timers.frozenUntil > timers.now()) << " inc " << h->links->self.incarnation
+                  << "\n";
+    }
+    for (auto &[id, s] : group.servers())
+        std::cerr << id << " run " << s.running << " prim " << s.primary << " term " << s.term
+                  << " log " << s.log.size() << " app " << s.applied << " stop " << s.stoppedUnder
+                  << " deaf " << s.deaf << " leaving " << s.leaving << " lag "
+                  << toMilliseconds(s.lag) << "\n";
+}
+} // namespace kelptally::model
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -58,6 +58,7 @@
     // Index of the host that owns the group by the store's row; -1 when none.
     int owner() const;
     void list();
+    void dump();
     // A planned stop of the host.
     void drain(std::size_t host);
 
