--- a/tests/inner/samplemessages.h
+++ b/tests/inner/samplemessages.h
@@ -50,6 +50,48 @@
     return message;
 }
 
+inline RunStatement sampleStatement()
+{
+    RunStatement message;
+    message.requestId = 77;
+    message.group = "offers";
+    message.session = 5;
+    message.verb = SessionVerb::Commit;
+    message.inTransaction = true;
+    message.begins = TransactionMode::ReadOnly;
+    message.statementId = "5c0e";
+    message.text = "WRITE 1a4 x";
+    message.preparedShape = "q2c";
+    message.arguments = "1a4 x";
+    message.values = {"mode", "strict"};
+    message.rule = ReadRule::OwnWrites;
+    message.maxAge = std::chrono::milliseconds(2500);
+    message.sessionPosition = Position {3, 12};
+    message.timeLeft = std::chrono::milliseconds(800);
+    message.objective = std::chrono::milliseconds(250);
+    message.priority = 2;
+    return message;
+}
+
+inline StatementDone sampleDone()
+{
+    StatementDone message;
+    message.requestId = 77;
+    message.reason = Reason::NotOwner;
+    message.executed = Executed::Unknown;
+    message.detail = "detail";
+    message.rows = {"a b", ""};
+    message.signature = "7.1f3";
+    message.position = Position {3, 13};
+    message.retryAfter = std::chrono::milliseconds(40);
+    message.ownerEpoch = 9;
+    message.owner = {"127.0.0.2:7000", 8};
+    message.logPosition = Position {3, 14};
+    message.logAge = std::chrono::milliseconds(6);
+    message.lentConnections = 2;
+    return message;
+}
+
 inline std::vector<Message> sampleMessages()
 {
     const ProcessId process {"127.0.0.1:7000", 1764690000000000};
@@ -73,6 +115,13 @@
         ConfigAnswer {9, 18, "[zone ebene]\nregion=mu-north\n"},
         OperatorRequest {10, OperatorCommand::Promote, "offers", "offers-2", true},
         OperatorAnswer {10, Reason::NoPrimary, "detail", 18, true, {group, group}},
+        sampleStatement(),
+        sampleDone(),
+        EndTransaction {"offers", 5},
+        AliveRequest {3},
+        AliveAnswer {4},
+        OwnershipEndRequest {"offers", 6},
+        OwnershipEnded {"offers", 6},
     };
 }
 
--- /dev/null
+++ b/tests/session/callersession_test.cpp
@@ -0,0 +1,224 @@
+#include "core/manualtimerservice.h"
+#include "session/callersession.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace kelptally;
+using namespace kelptally::session;
+
+namespace {
+
+struct FakeRouter : public StatementRouter
+{
+    inner::RequestId run(inner::RunStatement statement, DoneCallback callback) override
+    {
+        sent.push_back(std::move(statement));
+        callbacks.push_back(std::move(callback));
+        return sent.size();
+    }
+    void cancel(inner::RequestId id) override { cancelled.push_back(id); }
+    void endTransaction(const GroupName &, std::uint64_t session) override
+    {
+        ended.push_back(session);
+    }
+    void answer(Reason reason = Reason::None, Executed executed = Executed::Yes,
+                std::optional<Position> position = {})
+    {
+        inner::StatementDone done;
+        done.reason = reason;
+        done.executed = executed;
+        done.position = position;
+        done.signature = "sig";
+        callbacks.back()(done);
+    }
+
+    std::vector<inner::RunStatement> sent;
+    std::vector<DoneCallback> callbacks;
+    std::vector<inner::RequestId> cancelled;
+    std::vector<std::uint64_t> ended;
+};
+
+struct FakeOutput : public SessionOutput
+{
+    void answer(const Answer &answer, SessionState state) override
+    {
+        answers.push_back(answer);
+        states.push_back(state);
+    }
+    std::vector<Answer> answers;
+    std::vector<SessionState> states;
+};
+
+EventLogOptions quiet()
+{
+    EventLogOptions options;
+    options.level = LogLevel::Error;
+    return options;
+}
+
+struct Fixture
+{
+    Fixture()
+    {
+        auto catalogue = std::make_shared<Catalogue>();
+        catalogue->version = 1;
+        Route route;
+        route.group = "cases";
+        route.rule = inner::ReadRule::OwnWrites;
+        catalogue->routes["main"] = route;
+        catalogue->transactionIdle = std::chrono::seconds(2);
+        current.install(catalogue);
+        session = std::make_shared<CallerSession>(
+            CallerSession::Parts {router, current, timers, log, metrics}, 7, "main", output);
+    }
+
+    void say(StatementKind kind, const std::string &name = "", const std::string &argument = "",
+             bool writes = false)
+    {
+        Statement statement;
+        statement.kind = kind;
+        statement.id = "id";
+        statement.text = "text";
+        statement.name = name;
+        statement.argument = argument;
+        statement.writes = writes;
+        session->run(statement);
+    }
+
+    ManualTimerService timers;
+    EventLog log {quiet()};
+    Metrics metrics;
+    FakeRouter router;
+    FakeOutput output;
+    CurrentCatalogue current;
+    std::shared_ptr<CallerSession> session;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "Values and prepared statements go with every statement of their session")
+{
+    say(StatementKind::SetValue, "mode", "strict");
+    say(StatementKind::Prepare, "s1", "q2c", true);
+    say(StatementKind::ExecutePrepared, "s1", "1a4 data");
+    CHECK(output.answers.size() == 2);
+    REQUIRE(router.sent.size() == 1);
+    CHECK(router.sent[0].values == std::vector<std::string> {"mode", "strict"});
+    CHECK(router.sent[0].preparedShape == "q2c");
+    CHECK(router.sent[0].arguments == "1a4 data");
+    CHECK(router.sent[0].verb == inner::SessionVerb::Write);
+    router.answer();
+    say(StatementKind::Deallocate, "s1");
+    say(StatementKind::ExecutePrepared, "s1", "1a4 data");
+    CHECK(router.sent.size() == 1);
+    CHECK(output.answers.back().reason == Reason::MalformedRequest);
+}
+
+TEST_CASE_METHOD(Fixture, "A session carries the position of its own writes into its reads")
+{
+    say(StatementKind::Write);
+    CHECK(!router.sent[0].sessionPosition);
+    router.answer(Reason::None, Executed::Yes, Position {3, 12});
+    say(StatementKind::Read);
+    CHECK(router.sent[1].sessionPosition == Position {3, 12});
+    router.answer(Reason::None, Executed::Yes, Position {3, 9});
+    say(StatementKind::Read);
+    CHECK(router.sent[2].sessionPosition == Position {3, 12});
+}
+
+TEST_CASE_METHOD(Fixture, "The first statement of a transaction begins it at the server")
+{
+    say(StatementKind::Begin);
+    CHECK(output.states.back() == SessionState::InTransaction);
+    CHECK(router.sent.empty());
+    say(StatementKind::Read);
+    CHECK(router.sent[0].begins == inner::TransactionMode::ReadWrite);
+    router.answer();
+    say(StatementKind::Write);
+    CHECK(router.sent[1].begins == inner::TransactionMode::None);
+    CHECK(router.sent[1].inTransaction);
+    router.answer();
+    say(StatementKind::Commit);
+    CHECK(router.sent[2].verb == inner::SessionVerb::Commit);
+    router.answer();
+    CHECK(output.states.back() == SessionState::Idle);
+    CHECK(output.answers.back().signature == "sig");
+}
+
+TEST_CASE_METHOD(Fixture, "A commit of nothing is the server's to answer")
+{
+    say(StatementKind::Begin);
+    say(StatementKind::Commit);
+    REQUIRE(router.sent.size() == 1);
+    CHECK(router.sent[0].begins == inner::TransactionMode::ReadWrite);
+    CHECK(router.sent[0].verb == inner::SessionVerb::Commit);
+}
+
+TEST_CASE_METHOD(Fixture, "A failed transaction takes nothing but its end, and is never committed")
+{
+    say(StatementKind::Begin);
+    say(StatementKind::Write);
+    router.answer(Reason::TransactionEnded, Executed::No);
+    CHECK(output.states.back() == SessionState::Failed);
+    say(StatementKind::Read);
+    CHECK(output.answers.back().reason == Reason::MalformedRequest);
+    CHECK(output.states.back() == SessionState::Failed);
+    say(StatementKind::SetValue, "a", "b");
+    CHECK(output.answers.back().reason == Reason::MalformedRequest);
+    say(StatementKind::Commit);
+    CHECK(output.answers.back().reason == Reason::TransactionEnded);
+    CHECK(output.states.back() == SessionState::Idle);
+    CHECK(router.sent.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A caller that leaves in a transaction has it rolled back")
+{
+    say(StatementKind::Begin);
+    say(StatementKind::Write);
+    session->onCallerGone();
+    CHECK(router.cancelled == std::vector<inner::RequestId> {1});
+    CHECK(router.ended == std::vector<std::uint64_t> {7});
+    router.answer();
+    CHECK(output.answers.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A transaction that rests too long is ended, without a word until asked")
+{
+    say(StatementKind::Begin);
+    say(StatementKind::Write);
+    router.answer();
+    timers.advance(std::chrono::seconds(3));
+    CHECK(router.ended.size() == 1);
+    CHECK(output.answers.size() == 2);
+    say(StatementKind::Commit);
+    CHECK(output.answers.back().reason == Reason::TransactionEnded);
+    CHECK(output.answers.back().executed == Executed::No);
+}
+
+TEST_CASE_METHOD(Fixture, "A route that is gone refuses the next statement, not the open transaction")
+{
+    say(StatementKind::Begin);
+    say(StatementKind::Write);
+    router.answer();
+    auto empty = std::make_shared<Catalogue>();
+    empty->version = 2;
+    current.install(empty);
+    say(StatementKind::Write);
+    CHECK(router.sent.size() == 2);
+    router.answer();
+    say(StatementKind::Commit);
+    router.answer();
+    say(StatementKind::Read);
+    CHECK(output.answers.back().reason == Reason::UnknownGroup);
+}
+
+TEST_CASE_METHOD(Fixture, "What a session may keep is bounded")
+{
+    for (int i = 0; i < 300; ++i)
+        say(StatementKind::SetValue, "v" + std::to_string(i), "x");
+    CHECK(output.answers.back().reason == Reason::RequestTooLarge);
+    say(StatementKind::SetValue, "v1", "y");
+    CHECK(output.answers.back().reason == Reason::None);
+}
