Give no group to a host that is being stopped; refuse late statements there

Change: a stopping host tells its peers; 2.3 s before the end of the grace nothing new begins there, and the refusal says to come back elsewhere.

--- /dev/null
+++ b/fuzz/wire.cpp
@@ -0,0 +1,35 @@
+#include "platform/wire.h"
+#include "fuzz/fuzz.h"
+#include "platform/documents.h"
+
+using namespace kelptally;
+
+// Lines come out the same however the bytes arrive, and no line, report or document does harm.
+int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string text(fuzz::textOf(data, size));
+    platform::LineBuffer whole;
+    platform::LineBuffer pieces;
+    whole.append(text.data(), text.size());
+    std::vector<std::string> lines;
+    while (const auto line = whole.next())
+        lines.emplace_back(*line);
+    std::vector<std::string> again;
+    for (const char &byte : text) {
+        pieces.append(&byte, 1);
+        while (const auto line = pieces.next())
+            again.emplace_back(*line);
+        pieces.compact();
+    }
+    fuzz::require(lines == again);
+    for (const std::string &line : lines) {
+        const platform::CallerMessage message = platform::parseCallerMessage(line);
+        if (message.kind == platform::CallerMessage::Kind::Statement)
+            fuzz::require(line == "QUERY " + message.statement.id + " " + message.statement.text);
+        platform::parseServerMessage(line);
+        platform::parseReport(line);
+    }
+    static_cast<void>(platform::parseCatalogue(text));
+    static_cast<void>(platform::parseServer("i-1", text));
+    return 0;
+}
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -12,6 +12,8 @@
 constexpr Duration drainStepPeriod = std::chrono::milliseconds(50);
 // Idle sessions closed in one step, so that their callers don't all come back in one instant.
 constexpr std::size_t closedPerStep = 20;
+// A statement that begins less than this before the end of the grace may not end within it.
+constexpr Duration lastStatements = std::chrono::milliseconds(2300);
 // Left of the grace when the process ends in any case.
 constexpr Duration leftAtEnd = std::chrono::milliseconds(700);
 
@@ -114,6 +116,8 @@
     draining_ = true;
     drainBegan_ = ports_.timers.now();
     whenDrained_ = std::move(whenDone);
+    for (const auto &[link, address] : linkAddresses_)
+        static_cast<void>(links_->sendOn(link, inner::Stopping {self_}));
     ports_.log.info("drain").with("sessions", std::uint64_t(callers_->count()));
     drainStep();
 }
@@ -128,7 +132,10 @@
         callers_->stopAccepting();
         callers_->closeIdle(closedPerStep);
     }
-    // 3. The end: nothing is left, or the grace nearly is.
+    // 3. What begins so late could not end in time.
+    if (passed >= settings_.grace - lastStatements)
+        router_->stopTaking();
+    // 4. The end: nothing is left, or the grace nearly is.
     const bool empty = passed >= balancerNotices && callers_->count() == 0 && groups_->isQuiet()
         && router_->inProgress() == 0;
     if (!empty && passed < settings_.grace - leftAtEnd) {
@@ -167,6 +174,8 @@
     linkAddresses_[link] = peer.process.address;
     peers_[peer.process.address] = peer;
     ports_.log.info("peer_up").with("peer", peer.process.address).with("host", peer.host);
+    if (draining_)
+        static_cast<void>(links_->sendOn(link, inner::Stopping {self_}));
     groups_->onPeerUp(link, peer);
     groups_->ownership().onPeerUp(peer.process);
     router_->onPeerUp(peer.process.address);
@@ -214,6 +223,13 @@
     static_cast<void>(links_->sendOn(link, inner::AliveAnswer {message.sequence}));
 }
 
+void HostProcess::handle(inner::LinkId, inner::Stopping &message)
+{
+    const auto peer = peers_.find(message.process.address);
+    if (peer != peers_.end() && peer->second.process == message.process)
+        peers_.erase(peer);
+}
+
 void HostProcess::handle(inner::LinkId link, inner::Locate &message)
 {
     const group::OwnershipRecord *record = groups_->ownership().record(message.group);
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -92,6 +92,7 @@
     void handle(inner::LinkId link, inner::AliveRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEndRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEnded &message);
+    void handle(inner::LinkId link, inner::Stopping &message);
     void handle(inner::LinkId link, inner::Locate &message);
     void handle(inner::LinkId link, inner::LocateAnswer &message);
     template <typename Other>
@@ -113,7 +114,7 @@
     std::unique_ptr<session::Router> router_;
     CallerConnections *callers_ = nullptr;
     std::map<inner::LinkId, std::string> linkAddresses_;
-    // Processes that a link is up with.
+    // Processes that a link is up with and that are not being stopped.
     std::map<std::string, inner::Hello> peers_;
     std::map<GroupName, ZoneName> primaryZones_;
     std::uint64_t lastSession_ = 0;
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -310,4 +310,10 @@
     archive.number(m.epoch);
 }
 
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const Stopping &)
+{
+    archive.record(m.process);
+}
+
 } // namespace kelptally::inner
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -349,10 +349,16 @@
     OwnerEpoch epoch = 0;
 };
 
+// The sender is being stopped: no group should be given to it.
+struct Stopping
+{
+    ProcessId process;
+};
+
 using Message =
     std::variant<Hello, Execute, ExecuteResult, Cancel, Heartbeat, HeartbeatAnswer, Locate,
                  LocateAnswer, HandOver, ConfigNotice, ConfigRequest, ConfigAnswer, OperatorRequest,
                  OperatorAnswer, RunStatement, StatementDone, EndTransaction, AliveRequest,
-                 AliveAnswer, OwnershipEndRequest, OwnershipEnded>;
+                 AliveAnswer, OwnershipEndRequest, OwnershipEnded, Stopping>;
 
 } // namespace kelptally::inner
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -16,6 +16,8 @@
 constexpr Duration ownPause = std::chrono::milliseconds(160);
 // What a caller is told to wait for an owner: about the time of a takeover.
 constexpr Duration takeoverTime = std::chrono::milliseconds(500);
+// What a caller of a host that stops is told to wait before it comes back through another.
+constexpr Duration elsewhereSoon = std::chrono::milliseconds(20);
 // Chosen, not measured: a statement that meets so many lost owners is given up.
 constexpr int maxAttempts = 6;
 
@@ -50,7 +52,10 @@
         lastTick_ = parts_.timers.now();
         parts_.timers.subscribeAfter(tickPeriod, [this] { tick(); });
     }
-    runNear(id);
+    if (taking_ || continuesTransaction(pending_.at(id).statement))
+        runNear(id);
+    else
+        refuse(id, Reason::Draining, Executed::No, "this host is being stopped", elsewhereSoon);
     return id;
 }
 
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -96,6 +96,8 @@
     void onOwnerChanged(const GroupName &group);
 
     std::size_t inProgress() const { return pending_.size(); }
+    // From now on nothing new begins here; what is open goes on.
+    void stopTaking() { taking_ = false; }
 
 private:
     struct Pending
@@ -147,6 +149,7 @@
     std::unordered_map<std::uint64_t, std::string> transactions_;
     inner::RequestId lastId_ = 0;
     std::uint64_t askSequence_ = 0;
+    bool taking_ = true;
     bool ticking_ = false;
     Instant lastTick_;
 };
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -113,7 +113,7 @@
     // Callers
     void stopAccepting() override { }
     void closeIdle(std::size_t) override { }
-    std::size_t count() const override { return 0; }
+    std::size_t count() const override { return sessions; }
 
     World &world;
     const std::size_t index;
@@ -121,6 +121,8 @@
     HostTimers timers;
     Metrics metrics;
     bool up = true;
+    // Callers that stay, so that a stop lasts for its whole time.
+    std::size_t sessions = 0;
     bool isCut = false;
     std::unique_ptr<group::ServerConnector> connector;
     struct Links;
@@ -510,6 +512,7 @@
 
 void World::drain(std::size_t host)
 {
+    hosts[host]->sessions = 1;
     hosts[host]->process->drain([] {});
 }
 
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -301,6 +301,54 @@
     checkRight(world);
 }
 
+TEST_CASE(
+    "A host that is stopped refuses at once what it could not finish, and gives its groups away")
+{
+    World world(17);
+    settle(world);
+    const int owner = world.owner();
+    world.drain(std::size_t(owner));
+    std::vector<World::OutcomePtr> writes;
+    for (int i = 0; i < 340; ++i) {
+        writes.push_back(world.write(otherThan(owner)));
+        world.run(10ms);
+    }
+    CHECK(world.owner() != owner);
+    for (const auto &write : writes)
+        CHECK((!write->done || write->result.reason == Reason::None));
+    world.run(500ms);
+    const auto late = world.write(std::size_t(owner));
+    CHECK(world.runUntil(20ms, [&] { return late->done; }));
+    CHECK(late->result.reason == Reason::Draining);
+    CHECK(late->result.executed == Executed::No);
+    CHECK(late->result.retryAfter > Duration(0));
+    checkRight(world);
+}
+
+TEST_CASE("A group is not given to a host that is being stopped itself")
+{
+    World world(18);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host)
+        REQUIRE(world.timeToWrite(host, 1s));
+    const int owner = world.owner();
+    // The host that would be chosen is the one that stops.
+    std::vector<int> others;
+    for (int host = 0; host < 3; ++host)
+        if (host != owner)
+            others.push_back(host);
+    const std::size_t chosen = std::hash<std::string>()(world.group.name()) % 2;
+    const std::size_t next = std::size_t(others[chosen]);
+    const int third = others[1 - chosen];
+    world.drain(next);
+    world.run(100ms);
+    world.drain(std::size_t(owner));
+    CHECK(world.runUntil(1s, [&] { return world.owner() == third; }));
+    world.run(2s);
+    CHECK(world.owner() == third);
+    checkRight(world);
+}
+
 TEST_CASE("Owner and primary lost together: the primary changes only after the lease or its proof")
 {
     World world(14);
--- a/tests/inner/samplemessages.h
+++ b/tests/inner/samplemessages.h
@@ -122,6 +122,7 @@
         AliveAnswer {4},
         OwnershipEndRequest {"offers", 6},
         OwnershipEnded {"offers", 6},
+        Stopping {process},
     };
 }
 
