--- /dev/null
+++ b/tests/platform/fakeplatform.cpp
@@ -0,0 +1,201 @@
+#include "fakeplatform.h"
+
+#include "core/json.h"
+
+#include <absl/strings/escaping.h>
+#include <boost/asio/write.hpp>
+
+namespace kelptally::platform {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+constexpr Duration feedLook = std::chrono::milliseconds(20);
+
+std::string parameter(const std::string &query, const std::string &name)
+{
+    const std::size_t at = ("&" + query).find("&" + name + "=");
+    if (at == std::string::npos)
+        return std::string();
+    const std::size_t begin = at + name.size() + 1;
+    return query.substr(begin, query.find('&', begin) - begin);
+}
+
+} // namespace
+
+FakeStore::FakeStore(DutyThread &thread)
+    : thread_(thread), server_(thread, *this, {}, [](Reason) {})
+{
+    if (!server_.listen("127.0.0.1", 0).ok())
+        throw std::runtime_error("the fake store can't listen");
+}
+
+void FakeStore::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tables_[table][key] = {value, ++version_};
+}
+
+std::string FakeStore::value(const std::string &table, const std::string &key)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return tables_[table][key].value;
+}
+
+std::string FakeStore::rowsAfter(const std::string &table, std::uint64_t after,
+                                 const std::string &from)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    JsonWriter json;
+    json.beginObject().key("rows").beginArray();
+    bool any = false;
+    for (const auto &[key, row] : tables_[table]) {
+        if (row.version <= after || key < from)
+            continue;
+        any = true;
+        json.beginObject().member("table", table).member("part", "").member("key", key);
+        json.member("value", absl::Base64Escape(row.value)).member("ver", row.version).endObject();
+    }
+    json.endArray().member("truncated", false).member("ver", version_);
+    json.member("nowMs", std::int64_t(1000)).endObject();
+    return any || after == 0 ? json.take() : std::string();
+}
+
+void FakeStore::onRequest(caller::HttpRequest request, caller::HttpReplyPtr reply)
+{
+    const std::string table = parameter(request.query, "table");
+    if (request.path == "/kelptally/rows-get")
+        return reply->send(
+            caller::jsonResponse(rowsAfter(table, 0, parameter(request.query, "from"))));
+    if (request.path == "/kelptally/rows-tx")
+        return transact(request.body, reply);
+    if (request.path != "/kelptally/rows-feed") {
+        caller::HttpResponse missing;
+        missing.status = 404;
+        return reply->send(std::move(missing));
+    }
+    const auto after = std::strtoull(parameter(request.query, "after").c_str(), nullptr, 10);
+    const std::string news = rowsAfter(table, std::max<std::uint64_t>(after, 1), "");
+    if (!news.empty())
+        return reply->send(caller::jsonResponse(news));
+    thread_.timers().subscribeAfter(feedLook,
+                                    [this, request, reply] { onRequest(request, reply); });
+}
+
+void FakeStore::transact(const std::string &body, const caller::HttpReplyPtr &reply)
+{
+    const auto json = parseJson(body);
+    caller::HttpResponse response;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const JsonValue &expected : json->find("expectedRev")->items) {
+        const Row &row = tables_[expected.textOf("table")][expected.textOf("key")];
+        if (row.version != static_cast<std::uint64_t>(expected.find("ver")->toInteger()))
+            response.status = 412;
+    }
+    if (response.status == 200) {
+        ++version_;
+        for (const JsonValue &put : json->find("puts")->items) {
+            Row &row = tables_[put.textOf("table")][put.textOf("key")];
+            absl::Base64Unescape(put.textOf("value"), &row.value);
+            row.version = version_;
+        }
+    }
+    response.body = "{\"ver\":" + std::to_string(version_) + ",\"nowMs\":1000}";
+    reply->send(std::move(response));
+}
+
+struct FakeServer::Connection
+{
+    explicit Connection(Tcp::socket theSocket) : socket(std::move(theSocket)) { }
+
+    Tcp::socket socket;
+    LineBuffer buffer;
+    std::array<char, 4096> bytes;
+    char state = 'I';
+};
+
+FakeServer::FakeServer(DutyThread &thread, std::string id)
+    : id_(std::move(id)),
+      acceptor_(thread.context(), Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+{
+    accept();
+}
+
+std::vector<std::string> FakeServer::lines()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return lines_;
+}
+
+void FakeServer::loseNextWrite()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    loseNextWrite_ = true;
+}
+
+void FakeServer::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code &error, Tcp::socket socket) {
+        if (error)
+            return;
+        read(std::make_shared<Connection>(std::move(socket)));
+        accept();
+    });
+}
+
+void FakeServer::read(const std::shared_ptr<Connection> &connection)
+{
+    connection->socket.async_read_some(
+        boost::asio::buffer(connection->bytes),
+        [this, connection](const boost::system::error_code &error, std::size_t count) {
+            if (error)
+                return;
+            connection->buffer.append(connection->bytes.data(), count);
+            std::string out;
+            while (const auto line = connection->buffer.next()) {
+                const std::string text = answer(*connection, std::string(*line));
+                if (text.empty())
+                    return connection->socket.close();
+                out += text;
+            }
+            connection->buffer.compact();
+            boost::system::error_code ignored;
+            boost::asio::write(connection->socket, boost::asio::buffer(out), ignored);
+            read(connection);
+        });
+}
+
+// Empty: the connection ends without an answer.
+std::string FakeServer::answer(Connection &connection, const std::string &line)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    lines_.push_back(line);
+    const auto ready = [&] {
+        return std::string("READY ") + connection.state + " 1." + std::to_string(commits_) + "\r\n";
+    };
+    if (line.rfind("START ", 0) == 0)
+        return line == "START cases kelptally " + id_ ? ready() : "ERROR WRONGNODE " + id_ + "\r\n";
+    const std::string id = line.substr(6, line.find(' ', 6) - 6);
+    std::string text = line.substr(7 + id.size());
+    if (text.rfind("AFTER ", 0) == 0)
+        text = text.substr(text.find(' ', 6) + 1);
+    const bool write = text.rfind("WRITE", 0) == 0 || text.find(" data") != std::string::npos;
+    if (text == "STATUS")
+        return "DATAROW primary 1 1." + std::to_string(commits_) + " 0 0 0 1\r\nCOMPLETE -\r\n"
+            + ready();
+    if (text.rfind("BEGIN", 0) == 0)
+        connection.state = 'T';
+    if (write && loseNextWrite_) {
+        loseNextWrite_ = false;
+        return std::string();
+    }
+    if (text == "COMMIT" || (write && connection.state == 'I'))
+        ++commits_;
+    if (text == "COMMIT" || text == "ROLLBACK")
+        connection.state = 'I';
+    const bool reads = text.rfind("READ", 0) == 0;
+    return std::string(reads ? "DATAROW row-of-" + text.substr(5) + "\r\n" : "") + "COMPLETE sig-"
+        + id + "\r\n" + ready();
+}
+
+} // namespace kelptally::platform
--- /dev/null
+++ b/tests/platform/process_test.cpp
@@ -0,0 +1,340 @@
+#include "fakeplatform.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace kelptally;
+using namespace kelptally::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+int freePort()
+{
+    boost::asio::io_context context;
+    const Tcp::acceptor acceptor(context,
+                                 Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+// A caller's connection, read line by line.
+class Caller
+{
+public:
+    explicit Caller(int port) : socket_(context_)
+    {
+        socket_.connect(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                      static_cast<std::uint16_t>(port)));
+    }
+
+    void send(const std::string &text) { boost::asio::write(socket_, boost::asio::buffer(text)); }
+
+    // The next line; "closed" at the end.
+    std::string line()
+    {
+        boost::system::error_code error;
+        boost::asio::read_until(socket_, buffer_, "\r\n", error);
+        if (error)
+            return "closed";
+        std::istream stream(&buffer_);
+        std::string text;
+        std::getline(stream, text);
+        text.pop_back();
+        return text;
+    }
+
+    // Everything up to READY, joined by '|'.
+    std::string ask(const std::string &text)
+    {
+        send(text + "\r\n");
+        std::string answer;
+        for (;;) {
+            const std::string next = line();
+            answer += (answer.empty() ? "" : "|") + next;
+            if (next.rfind("READY", 0) == 0 || next == "closed")
+                return answer;
+        }
+    }
+
+private:
+    boost::asio::io_context context_;
+    Tcp::socket socket_;
+    boost::asio::streambuf buffer_;
+};
+
+// The real program, before a fake platform.
+class Deployment
+{
+public:
+    explicit Deployment(int output = -1)
+    {
+        thread_.start();
+        store.put("op", "config", R"({"version":1,"routes":[{"name":"r","database":"main",
+            "type":"primary","timeoutMs":800,"targetLatencyMs":200,"priority":1,"service":"cases"}],
+            "services":[{"name":"cases","maxConns":20,"syncReplicas":0}],"limits":{}})");
+        store.put("servers", "i-1",
+                  R"({"service":"cases","address":"127.0.0.1:)" + std::to_string(server.port())
+                      + R"(","zone":"z","slots":3,"state":"ready","dbRole":"primary"})");
+        start(output);
+        waitUntilReady();
+    }
+
+    ~Deployment()
+    {
+        if (process > 0) {
+            ::kill(process, SIGKILL);
+            ::waitpid(process, nullptr, 0);
+        }
+        thread_.stop();
+    }
+
+    int ready()
+    {
+        Caller http(readinessPort);
+        http.send("GET /kelptally/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return std::atoi(http.line().substr(9, 3).c_str());
+    }
+
+    // Exit status of the process, or -1 if it still runs after the time.
+    int waitForEnd(std::chrono::milliseconds most)
+    {
+        for (auto waited = 0ms; waited < most; waited += 20ms) {
+            int status = 0;
+            if (::waitpid(process, &status, WNOHANG) == process) {
+                process = 0;
+                return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + status;
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+        return -1;
+    }
+
+    static pid_t spawn(const std::string &file, const std::vector<std::string> &more, int output)
+    {
+        std::vector<std::string> words = {KELPTALLYD, "--settings", file};
+        words.insert(words.end(), more.begin(), more.end());
+        std::vector<char *> arguments;
+        for (std::string &word : words)
+            arguments.push_back(word.data());
+        arguments.push_back(nullptr);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        const int nowhere = ::open("/dev/null", O_WRONLY);
+        posix_spawn_file_actions_adddup2(&actions, output >= 0 ? output : nowhere, STDOUT_FILENO);
+        pid_t child = 0;
+        char *noVariables[] = {nullptr};
+        REQUIRE(::posix_spawn(&child, KELPTALLYD, &actions, nullptr, arguments.data(), noVariables)
+                == 0);
+        posix_spawn_file_actions_destroy(&actions);
+        ::close(nowhere);
+        return child;
+    }
+
+private:
+    DutyThread thread_ {"fake"};
+
+public:
+    FakeStore store {thread_};
+    FakeServer server {thread_, "i-1"};
+    const int callerPort = freePort();
+    const int readinessPort = freePort();
+    pid_t process = 0;
+
+private:
+    void start(int output)
+    {
+        const std::string file = "process_test_" + std::to_string(callerPort) + ".ini";
+        std::ofstream(file) << "[process]\nhost=h-1\nzone=z\naddress=127.0.0.1\npeer-port="
+                            << freePort() << "\ncallers=127.0.0.1:" << callerPort
+                            << "\nreadiness=127.0.0.1:" << readinessPort
+                            << "\nadmin-port=" << freePort()
+                            << "\ngrace=5s\n[platform]\nstore=127.0.0.1:" << store.port()
+                            << "\npromotions=127.0.0.1:" << store.port()
+                            << "\n[keys]\npeer-key=a long text for tests\n";
+        process = spawn(file, {}, output);
+    }
+
+    void waitUntilReady()
+    {
+        for (int i = 0; i < 500; ++i) {
+            std::this_thread::sleep_for(10ms);
+            try {
+                if (ready() == 200)
+                    return;
+            } catch (const boost::system::system_error &) {
+                // It does not listen yet.
+            }
+        }
+        FAIL("kelptallyd did not become ready");
+    }
+};
+
+bool contains(const std::vector<std::string> &lines, const std::string &part)
+{
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string &line) {
+        return line.find(part) != std::string::npos;
+    });
+}
+
+} // namespace
+
+TEST_CASE("The real process serves a session: values, prepared names, statements, transactions")
+{
+    Deployment deployment;
+    Caller caller(deployment.callerPort);
+    CHECK(caller.ask("START main me") == "READY I -");
+    CHECK(caller.ask("QUERY 1 READ a1") == "DATAROW row-of-a1|COMPLETE sig-1|READY I -");
+    CHECK(caller.ask("QUERY 2 SET mode strict") == "COMPLETE -|READY I -");
+    CHECK(caller.ask("QUERY 3 PREPARE s WRITE shape-7") == "COMPLETE -|READY I -");
+    CHECK(caller.ask("QUERY 4 EXECUTE s a1 data").rfind("COMPLETE sig-4|READY I 1.1", 0) == 0);
+    CHECK(contains(deployment.server.lines(), "QUERY - SET mode strict"));
+    CHECK(contains(deployment.server.lines(), "PREPARE p1 WRITE shape-7"));
+    CHECK(contains(deployment.server.lines(), "QUERY 4 EXECUTE p1 a1 data"));
+    CHECK(caller.ask("QUERY 5 BEGIN") == "COMPLETE -|READY T -");
+    CHECK(caller.ask("QUERY 6 WRITE a1 more").rfind("COMPLETE sig-6|READY T", 0) == 0);
+    CHECK(caller.ask("QUERY 7 COMMIT").rfind("COMPLETE sig-7|READY I 1.2", 0) == 0);
+    // Another session has none of this.
+    Caller other(deployment.callerPort);
+    other.ask("START main me");
+    CHECK(other.ask("QUERY 8 EXECUTE s a1 data").rfind("ERROR MALFORMED", 0) == 0);
+}
+
+TEST_CASE("A write whose answer is lost is in doubt at once, and a read is run again")
+{
+    Deployment deployment;
+    Caller caller(deployment.callerPort);
+    caller.ask("START main me");
+    caller.ask("QUERY 1 READ a1");
+    deployment.server.loseNextWrite();
+    CHECK(caller.ask("QUERY 2 WRITE a1 data").rfind("ERROR INDOUBT", 0) == 0);
+    CHECK(caller.ask("QUERY 3 WRITE a1 data").rfind("COMPLETE sig-3", 0) == 0);
+    int sent = 0;
+    for (const std::string &line : deployment.server.lines())
+        sent += line.find("QUERY 2 WRITE") != std::string::npos;
+    CHECK(sent == 1);
+}
+
+TEST_CASE("Bad input gets an error or a close, and harms nobody else")
+{
+    Deployment deployment;
+    Caller good(deployment.callerPort);
+    good.ask("START main me");
+    Caller unknown(deployment.callerPort);
+    CHECK(unknown.ask("START nothing me").rfind("ERROR NODB", 0) == 0);
+    Caller early(deployment.callerPort);
+    CHECK(early.ask("QUERY 1 READ a").rfind("ERROR MALFORMED", 0) == 0);
+    Caller odd(deployment.callerPort);
+    odd.ask("START main me");
+    CHECK(odd.ask("QUERY 1 FETCH a").rfind("ERROR MALFORMED", 0) == 0);
+    CHECK(odd.ask("QUERY 2 READ a") == "DATAROW row-of-a|COMPLETE sig-2|READY I -");
+    // Pipelined statements are answered one after the other.
+    odd.send("QUERY 3 READ b\r\nQUERY 4 READ c\r\n");
+    CHECK(odd.line() == "DATAROW row-of-b");
+    CHECK(odd.line() == "COMPLETE sig-3");
+    CHECK(odd.line() == "READY I -");
+    CHECK(odd.line() == "DATAROW row-of-c");
+    // Beyond 1 MiB.
+    Caller large(deployment.callerPort);
+    large.ask("START main me");
+    try {
+        large.send("QUERY 1 WRITE a " + std::string(1u << 21, 'x'));
+    } catch (const boost::system::system_error &) {
+        // It may close before everything was sent.
+    }
+    const std::string answer = large.line();
+    CHECK((answer.rfind("ERROR TOOBIG", 0) == 0 || answer == "closed"));
+    CHECK(good.ask("QUERY 1 READ z").rfind("DATAROW row-of-z", 0) == 0);
+}
+
+TEST_CASE("A caller that leaves in a transaction has it rolled back")
+{
+    Deployment deployment;
+    {
+        Caller caller(deployment.callerPort);
+        caller.ask("START main me");
+        caller.ask("QUERY 1 BEGIN");
+        caller.ask("QUERY 2 WRITE a1 data");
+    }
+    bool rolledBack = false;
+    for (int i = 0; i < 200 && !rolledBack; ++i) {
+        std::this_thread::sleep_for(10ms);
+        rolledBack = contains(deployment.server.lines(), "QUERY - ROLLBACK");
+    }
+    CHECK(rolledBack);
+    CHECK(!contains(deployment.server.lines(), "COMMIT"));
+}
+
+TEST_CASE("A configuration is in force as it comes, and never an older one")
+{
+    Deployment deployment;
+    const auto configure = [&](int version, const std::string &database) {
+        deployment.store.put("op", "config",
+                             R"({"version":)" + std::to_string(version)
+                                 + R"(,"routes":[{"name":"r","database":")" + database
+                                 + R"(","type":"primary","service":"cases"}],
+            "services":[{"name":"cases","maxConns":20}]})");
+    };
+    configure(7, "next");
+    bool inForce = false;
+    for (int i = 0; i < 200 && !inForce; ++i) {
+        std::this_thread::sleep_for(10ms);
+        inForce = Caller(deployment.callerPort).ask("START next me") == "READY I -";
+    }
+    CHECK(inForce);
+    CHECK(Caller(deployment.callerPort).ask("START main me").rfind("ERROR NODB", 0) == 0);
+    configure(5, "main");
+    std::this_thread::sleep_for(300ms);
+    CHECK(Caller(deployment.callerPort).ask("START next me") == "READY I -");
+}
+
+TEST_CASE("SIGTERM: not ready at once, idle sessions closed, and an end within the grace")
+{
+    Deployment deployment;
+    Caller caller(deployment.callerPort);
+    caller.ask("START main me");
+    caller.ask("QUERY 0 READ a");
+    ::kill(deployment.process, SIGTERM);
+    std::this_thread::sleep_for(200ms);
+    CHECK(deployment.ready() == 503);
+    CHECK(caller.ask("QUERY 1 READ a") == "DATAROW row-of-a|COMPLETE sig-1|READY I -");
+    CHECK(caller.line() == "closed");
+    CHECK(deployment.waitForEnd(5000ms) == 0);
+}
+
+TEST_CASE("Nobody reads the log: service goes on")
+{
+    int ends[2];
+    REQUIRE(::pipe(ends) == 0);
+    Deployment deployment(ends[1]);
+    Caller caller(deployment.callerPort);
+    caller.ask("START main me");
+    // Refusals are logged; far more than a pipe holds.
+    for (int i = 0; i < 3000; ++i)
+        REQUIRE(Caller(deployment.callerPort).ask("START nothing me").rfind("ERROR NODB", 0) == 0);
+    CHECK(caller.ask("QUERY 1 READ a").rfind("DATAROW row-of-a", 0) == 0);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST_CASE("Settings with mistakes are told all at once, and nothing starts")
+{
+    std::ofstream("process_test_bad.ini") << "[process]\nhost=h\n[log]\nlevel=loud\n[odd]\n";
+    const pid_t child = Deployment::spawn("process_test_bad.ini", {"--check"}, -1);
+    int status = 0;
+    REQUIRE(::waitpid(child, &status, 0) == child);
+    CHECK(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == 1);
+}
