--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -215,7 +215,8 @@
             return parts_.owners.learnOwner(group, {done.ownerEpoch, done.owner});
         return parts_.owners.refreshOwner(group);
     }
-    finish(done.requestId, std::move(done));
+    const inner::RequestId id = done.requestId;
+    finish(id, std::move(done));
 }
 
 void Router::finish(inner::RequestId id, inner::StatementDone done)
