Read large tables less often

Cause: the list of servers read whole every 6 s is 1.3 MB at the size that the design is for, 216 KB a second for each host.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -79,7 +79,7 @@
 
 OwnershipTable::OwnershipTable(const Parts &parts, OwnershipEvents &events)
     : parts_(parts), events_(events),
-      follower_({parts.timers, parts.feed, parts.log}, table, Duration(0),
+      follower_({parts.timers, parts.feed, parts.log}, table, {},
                 {[this](const services::TableRow &row) { apply(row); }, [](const std::string &) {},
                  [this] { onRead(); }})
 { }
--- a/src/services/tablefollower.cpp
+++ b/src/services/tablefollower.cpp
@@ -1,5 +1,6 @@
 #include "services/tablefollower.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace kelptally::services {
@@ -13,10 +14,9 @@
 
 } // namespace
 
-TableFollower::TableFollower(const Parts &parts, std::string table, Duration checkPeriod,
+TableFollower::TableFollower(const Parts &parts, std::string table, const Checks &checks,
                              Handlers handlers)
-    : parts_(parts), table_(std::move(table)), checkPeriod_(checkPeriod),
-      handlers_(std::move(handlers))
+    : parts_(parts), table_(std::move(table)), checks_(checks), handlers_(std::move(handlers))
 { }
 
 TableFollower::~TableFollower()
@@ -27,11 +27,23 @@
 void TableFollower::start()
 {
     check();
-    if (checkPeriod_ > Duration(0))
-        parts_.timers.subscribeEvery(checkPeriod_, [this, alive = alive_] {
-            if (*alive)
-                check();
-        });
+    if (checks_.period > Duration(0))
+        checkLater();
+}
+
+void TableFollower::checkLater()
+{
+    Duration pause = checks_.period;
+    if (checks_.bytesPerSecond > 0)
+        pause = std::max(pause,
+                         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                             double(bytes_) / double(checks_.bytesPerSecond))));
+    parts_.timers.subscribeAfter(pause, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        check();
+        checkLater();
+    });
 }
 
 void TableFollower::check()
@@ -58,7 +70,9 @@
 void TableFollower::onSnapshot(const TableSnapshot &snapshot)
 {
     std::map<std::string, std::string> before = versions_;
+    bytes_ = 0;
     for (const TableRow &row : snapshot.rows) {
+        bytes_ += row.key.size() + row.value.size();
         before.erase(row.key);
         apply(row);
     }
--- a/src/services/tablefollower.h
+++ b/src/services/tablefollower.h
@@ -32,8 +32,17 @@
         std::function<void()> onRead;
     };
 
-    // Without a check period only the feed is followed.
-    TableFollower(const Parts &parts, std::string table, Duration checkPeriod, Handlers handlers);
+    // When the whole table is read again.
+    struct Checks
+    {
+        // Never, when this is zero: only the feed is followed.
+        Duration period {0};
+        // A large table is read less often, so that reading it takes no more than this on average;
+        // 0: as often as a small one.
+        std::size_t bytesPerSecond = 0;
+    };
+
+    TableFollower(const Parts &parts, std::string table, const Checks &checks, Handlers handlers);
     ~TableFollower();
 
     void start();
@@ -43,6 +52,7 @@
     void check();
 
 private:
+    void checkLater();
     void onSnapshot(const TableSnapshot &snapshot);
     void follow();
     void onChanges(const absl::StatusOr<TableChanges> &changes);
@@ -52,7 +62,8 @@
 
     const Parts parts_;
     const std::string table_;
-    const Duration checkPeriod_;
+    const Checks checks_;
+    std::size_t bytes_ = 0;
     const Handlers handlers_;
     // Version of each row as last seen.
     std::map<std::string, std::string> versions_;
--- /dev/null
+++ b/tests/services/tablefollower_test.cpp
@@ -0,0 +1,105 @@
+#include "core/manualtimerservice.h"
+#include "services/tablefollower.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::services;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Answers when the test says so.
+struct FakeFeed : public TableFeed
+{
+    void snapshot(const std::string &, SnapshotCallback callback) override
+    {
+        ++snapshots;
+        onSnapshot = std::move(callback);
+    }
+    void changes(const std::string &, std::uint64_t place, Duration,
+                 ChangesCallback callback) override
+    {
+        after = place;
+        onChanges = std::move(callback);
+    }
+
+    int snapshots = 0;
+    std::uint64_t after = 0;
+    SnapshotCallback onSnapshot;
+    ChangesCallback onChanges;
+};
+
+struct Fixture
+{
+    void start(const TableFollower::Checks &checks)
+    {
+        follower = std::make_unique<TableFollower>(
+            TableFollower::Parts {timers, feed, log}, "t", checks,
+            TableFollower::Handlers {
+                [this](const TableRow &row) { rows.push_back(row.key + "=" + row.value); },
+                [this](const std::string &key) { rows.push_back("-" + key); }, [] {}});
+        follower->start();
+    }
+
+    ManualTimerService timers;
+    EventLog log {[] {
+        EventLogOptions options;
+        options.level = LogLevel::Error;
+        return options;
+    }()};
+    FakeFeed feed;
+    std::vector<std::string> rows;
+    std::unique_ptr<TableFollower> follower;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A snapshot, then its changes, each once and never an older one")
+{
+    start({});
+    feed.onSnapshot(TableSnapshot {{{"a", "1", "9"}, {"b", "1", "10"}}, 12});
+    CHECK(feed.after == 12);
+    feed.onChanges(TableChanges {{{{"a", "2", "13"}, false}, {{"b", "", "14"}, true}}, 14});
+    CHECK(feed.after == 14);
+    feed.onChanges(TableChanges {{{{"a", "old", "9"}, false}}, 15});
+    CHECK(rows == std::vector<std::string> {"a=1", "b=1", "a=2", "-b"});
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "Lost history is made up for by a snapshot, also when that fails at first")
+{
+    start({});
+    feed.onSnapshot(TableSnapshot {{{"a", "1", "9"}, {"b", "1", "10"}}, 12});
+    feed.onChanges(absl::OutOfRangeError("gone"));
+    CHECK(feed.snapshots == 2);
+    feed.onSnapshot(absl::UnavailableError("down"));
+    timers.advance(1s);
+    CHECK(feed.snapshots == 3);
+    feed.onSnapshot(TableSnapshot {{{"b", "3", "20"}}, 20});
+    CHECK(rows == std::vector<std::string> {"a=1", "b=1", "b=3", "-a"});
+    CHECK(feed.after == 20);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "A feed that hears nothing is made up for by the check of the whole table")
+{
+    start({2s, 0});
+    feed.onSnapshot(TableSnapshot {{{"a", "1", "9"}}, 9});
+    timers.advance(2s);
+    CHECK(feed.snapshots == 2);
+    feed.onSnapshot(TableSnapshot {{{"a", "2", "11"}}, 11});
+    CHECK(rows.back() == "a=2");
+}
+
+TEST_CASE_METHOD(Fixture, "A large table is read less often")
+{
+    start({2s, 100});
+    feed.onSnapshot(TableSnapshot {{{"a", std::string(999, 'x'), "9"}}, 9});
+    timers.advance(2s);
+    feed.onSnapshot(TableSnapshot {{{"a", std::string(999, 'x'), "9"}}, 9});
+    timers.advance(9s);
+    CHECK(feed.snapshots == 2);
+    timers.advance(1500ms);
+    CHECK(feed.snapshots == 3);
+}
