--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -16,6 +16,8 @@
 constexpr Duration lease = std::chrono::seconds(12);
 // Clocks of two hosts may run apart by this over one lease: 1%, far above any real drift.
 constexpr Duration clockMargin = std::chrono::milliseconds(120);
+// Longest that one question for changes of owners stays open. Owners are also learnt on the way.
+constexpr Duration feedWait = std::chrono::seconds(20);
 // The row is read this often, so that a lost answer or two leave most of the lease.
 constexpr Duration renewPeriod = std::chrono::milliseconds(2500);
 // A claim that is read and written within this time still knows the guard of its row.
@@ -79,7 +81,7 @@
 
 OwnershipTable::OwnershipTable(const Parts &parts, OwnershipEvents &events)
     : parts_(parts), events_(events),
-      follower_({parts.timers, parts.feed, parts.log}, table, {},
+      follower_({parts.timers, parts.feed, parts.log}, table, feedWait,
                 {[this](const services::TableRow &row) { apply(row); }, [](const std::string &) {},
                  [this] { onRead(); }})
 { }
--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -44,6 +46,20 @@
     return http::verb::get;
 }
 
+// A call that waits for changes sends nothing, so only probes tell that its other end is gone.
+void keepAlive(Tcp::socket &socket)
+{
+    constexpr int idleSeconds = 1;
+    constexpr int pauseSeconds = 1;
+    constexpr int unanswered = 3;
+    Error ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = socket.native_handle();
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &pauseSeconds, sizeof pauseSeconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &unanswered, sizeof unanswered);
+}
+
 std::string unquoted(boost::beast::string_view tag)
 {
     if (tag.size() >= 2 && tag.front() == '"' && tag.back() == '"')
@@ -165,6 +181,7 @@
         self->connected_ = true;
         Error ignored;
         self->socket_.set_option(Tcp::no_delay(true), ignored);
+        keepAlive(self->socket_);
         self->write();
     });
 }
--- a/src/services/tablefollower.h
+++ b/src/services/tablefollower.h
@@ -12,7 +12,7 @@
 namespace kelptally::services {
 
 // Keeps up with one table: a snapshot, then its changes, and a snapshot again when the history is
-// gone or, now and then, in case the feed hears nothing.
+// gone.
 class TableFollower
 {
 public:
@@ -32,27 +32,17 @@
         std::function<void()> onRead;
     };
 
-    // When the whole table is read again.
-    struct Checks
-    {
-        // Never, when this is zero: only the feed is followed.
-        Duration period {0};
-        // A large table is read less often, so that reading it takes no more than this on average;
-        // 0: as often as a small one.
-        std::size_t bytesPerSecond = 0;
-    };
-
-    TableFollower(const Parts &parts, std::string table, const Checks &checks, Handlers handlers);
+    // The wait is the longest that one question for changes stays open: each costs a call, and an
+    // answer that is lost on its way is noticed no sooner.
+    TableFollower(const Parts &parts, std::string table, Duration feedWait, Handlers handlers);
     ~TableFollower();
 
     void start();
     // Whether the whole table has been read once.
     bool isRead() const { return read_; }
-    // Reads the table now.
-    void check();
 
 private:
-    void checkLater();
+    void readAll();
     void onSnapshot(const TableSnapshot &snapshot);
     void follow();
     void onChanges(const absl::StatusOr<TableChanges> &changes);
@@ -62,15 +52,12 @@
 
     const Parts parts_;
     const std::string table_;
-    const Checks checks_;
-    std::size_t bytes_ = 0;
+    const Duration feedWait_;
     const Handlers handlers_;
     // Version of each row as last seen.
     std::map<std::string, std::string> versions_;
     std::uint64_t next_ = 0;
     bool read_ = false;
-    bool following_ = false;
-    bool checking_ = false;
     bool reachable_ = true;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/fuzz/seeds_test.cpp
+++ b/tests/fuzz/seeds_test.cpp
@@ -122,3 +122,18 @@
         writer.write(text);
     }
 }
+
+TEST_CASE("Seeds of the wire's codec are lines of both ends and the platform's documents")
+{
+    SeedWriter writer("wire");
+    writer.write("START main me\r\nQUERY 1 SET mode a b\r\nQUERY 2 PREPARE s1 WRITE q2c\r\n"
+                 "QUERY 3 EXECUTE s1 1a4 x\r\nQUERY 4 BEGIN READ\r\nQUERY 5 READ 1a4\r\n"
+                 "QUERY 6 COMMIT\r\nQUERY 7 DEALLOC s1\r\nTERMINATE\r\n");
+    writer.write("DATAROW qhzk\r\nCOMPLETE 7.1f3\r\nREADY T 3.1209\r\nERROR LAGGING i-7\r\n"
+                 "replica 3 3.1209 0 12.5 2 17\r\n");
+    writer.write(R"({"version":7,"routes":[{"name":"r","database":"d","type":"read_own",)"
+                 R"("service":"s","timeoutMs":800,"maxStalenessMs":2500}],)"
+                 R"("services":[{"name":"s","maxConns":23,"syncReplicas":1}],"limits":{}})");
+    writer.write(R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":3,)"
+                 R"("state":"draining","dbRole":"primary","sequence":4})");
+}
