Let what needs a primary wait its whole time while there is none

Cause: during a failover of about a second statements were refused after 250 to 375 ms, though they could be served within their route's time. Change: while no server leads, what needs one waits until its route's limit.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -778,7 +778,9 @@
 {
     if (job->done)
         return;
-    if (!job->running || parts_.timers.now() >= job->deadline)
+    const bool awaitsPrimary = active_ && keeper_.primary().empty()
+        && (!mayReadAnywhere(job->statement) || job->statement.rule == inner::ReadRule::Newest);
+    if ((!job->running && !awaitsPrimary) || parts_.timers.now() >= job->deadline)
         return onDeadline(job);
     job->timer = parts_.timers.subscribeAt(job->deadline, [this, alive = alive_, job] {
         if (*alive)
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -129,6 +129,22 @@
     checkRight(world);
 }
 
+TEST_CASE("Writes wait for the next primary as long as their route allows")
+{
+    World world(19);
+    settle(world);
+    world.group.crash(world.group.primary());
+    std::vector<World::OutcomePtr> writes;
+    for (int i = 0; i < 15; ++i) {
+        world.run(20ms);
+        writes.push_back(world.write(std::size_t(i % 3)));
+    }
+    world.run(1s);
+    for (const auto &write : writes)
+        CHECK(write->result.reason == Reason::None);
+    checkRight(world);
+}
+
 TEST_CASE("A primary that only this owner cannot reach acknowledges nothing after its replacement")
 {
     World world(7);
