--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -58,6 +58,11 @@
     return !statement.inTransaction && isRead(statement);
 }
 
+bool needsPrimary(const inner::RunStatement &statement)
+{
+    return !mayReadAnywhere(statement) || statement.rule == inner::ReadRule::Newest;
+}
+
 } // namespace
 
 GroupRunner::GroupRunner(const Parts &parts, const GroupName &group)
@@ -178,6 +183,7 @@
 {
     // Positions of the old primary may hold what the new one does not have.
     positions_.clear();
+    primarySince_ = parts_.timers.now();
     if (GroupServer *primary = find(server))
         primary->warmUp();
     pumpSoon();
@@ -360,8 +366,7 @@
 
 GroupServer *GroupRunner::chooseServer(const JobPtr &job, Instant now)
 {
-    const bool newest = job->statement.rule == inner::ReadRule::Newest;
-    if (mayReadAnywhere(job->statement) && !newest)
+    if (!needsPrimary(job->statement))
         return chooseReader(job, now);
     const bool writes = !mayReadAnywhere(job->statement);
     if (writes && writesHeld_)
@@ -773,18 +778,25 @@
     return keeper_.primary().empty() ? primaryHint : fullHint;
 }
 
-// One that has been sent keeps its time; one that still waits is refused.
+// One that has been sent keeps its time, and one that had to wait for a primary gets its turn once
+// there is one; any other that still waits is refused.
 void GroupRunner::onHeldTooLong(const JobPtr &job)
 {
     if (job->done)
         return;
-    const bool awaitsPrimary = active_ && keeper_.primary().empty()
-        && (!mayReadAnywhere(job->statement) || job->statement.rule == inner::ReadRule::Newest);
-    if ((!job->running && !awaitsPrimary) || parts_.timers.now() >= job->deadline)
+    const Instant now = parts_.timers.now();
+    Instant limit = now;
+    if (job->running)
+        limit = job->deadline;
+    else if (active_ && needsPrimary(job->statement))
+        limit = keeper_.primary().empty() ? job->deadline
+                                          : primarySince_ + (job->holdUntil - job->arrived);
+    limit = std::min(limit, job->deadline);
+    if (limit <= now)
         return onDeadline(job);
-    job->timer = parts_.timers.subscribeAt(job->deadline, [this, alive = alive_, job] {
+    job->timer = parts_.timers.subscribeAt(limit, [this, alive = alive_, job] {
         if (*alive)
-            onDeadline(job);
+            onHeldTooLong(job);
     });
 }
 
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -153,6 +153,8 @@
     std::list<JobPtr> queue_;
     std::vector<JobPtr> running_;
     std::map<Origin, Transaction> transactions_;
+    // When the present primary began to lead.
+    Instant primarySince_ {};
     bool active_ = false;
     bool writesHeld_ = false;
     bool pumping_ = false;
