--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -1,9 +1,17 @@
 #include "group/grouprunner.h"
 
+#include "session/statementrules.h"
+
 #include <algorithm>
 
 namespace kelptally::group {
 
+using session::commits;
+using session::continuesTransaction;
+using session::isRead;
+using session::mayReadAnywhere;
+using session::needsPrimary;
+
 namespace {
 
 // Statements that wait in one group. Chosen, not measured: some seconds of a small group's work.
@@ -18,51 +26,16 @@
 // What a caller is told to wait when a group has no primary, or is full.
 constexpr Duration primaryHint = std::chrono::milliseconds(400);
 constexpr Duration fullHint = std::chrono::milliseconds(100);
-// A replica is guessed to hold a position this long after the primary showed it, on top of twice
-// its lag.
-constexpr Duration guessMargin = std::chrono::milliseconds(5);
-// A replica that has shown nothing for this long is tried all the same: the refusal of one that is
-// behind costs no slot, and its lag may be over.
-constexpr Duration knowledgeAge = std::chrono::milliseconds(60);
-// How long a statement may wait for a server: twice its route's objective, within these bounds.
+// How long a statement may wait for a server: one and a half times its route's objective, within
+// these bounds.
 // Longer waits end late, are given up by their callers, and keep others from being in time.
 constexpr Duration leastHold = std::chrono::milliseconds(250);
 constexpr Duration longestHold = std::chrono::milliseconds(2000);
 // By how much a statement that is not late yet goes before its turn.
 constexpr Duration inTimeBonus = std::chrono::milliseconds(500);
-// Before the time at which nothing may reach a leaving server: the way there takes time.
-constexpr Duration leaveMargin = std::chrono::milliseconds(500);
-// What makes a server the worse choice for a read, in percent of its slots: the primary alone can
-// write, another zone costs time and bytes, and one that has just failed the read may do so again.
-constexpr int primaryCost = 30;
-constexpr int farCost = 40;
-constexpr int failedCost = 400;
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
 
-bool isRead(const inner::RunStatement &statement)
-{
-    return statement.verb == inner::SessionVerb::Read;
-}
-
-bool continuesTransaction(const inner::RunStatement &statement)
-{
-    return statement.inTransaction && statement.begins == inner::TransactionMode::None;
-}
-
-// Whether nothing but reading is asked, so that any server may do it.
-bool mayReadAnywhere(const inner::RunStatement &statement)
-{
-    if (statement.begins == inner::TransactionMode::ReadOnly)
-        return true;
-    return !statement.inTransaction && isRead(statement);
-}
-
-bool needsPrimary(const inner::RunStatement &statement)
-{
-    return !mayReadAnywhere(statement) || statement.rule == inner::ReadRule::Newest;
-}
-
 } // namespace
 
 GroupRunner::GroupRunner(const Parts &parts, const GroupName &group)
@@ -151,9 +124,8 @@
 {
     std::optional<Instant> oldest;
     for (const JobPtr &job : running_) {
-        const bool commits = job->statement.verb == inner::SessionVerb::Commit
-            || (!job->statement.inTransaction && !isRead(job->statement));
-        if (commits && job->server == keeper_.primary() && (!oldest || job->sentAt < *oldest))
+        if (commits(job->statement) && job->server == keeper_.primary()
+            && (!oldest || job->sentAt < *oldest))
             oldest = job->sentAt;
     }
     return oldest;
@@ -362,91 +334,6 @@
     return true;
 }
 
-// Choosing a server
-
-GroupServer *GroupRunner::chooseServer(const JobPtr &job, Instant now)
-{
-    if (!needsPrimary(job->statement))
-        return chooseReader(job, now);
-    const bool writes = !mayReadAnywhere(job->statement);
-    if (writes && writesHeld_)
-        return nullptr;
-    GroupServer *primary = find(keeper_.primary());
-    if (primary == nullptr || !primary->hasSlot() || now < primary->busyUntil
-        || hasLeft(*primary, now))
-        return nullptr;
-    return primary;
-}
-
-bool GroupRunner::hasLeft(const GroupServer &server, Instant now) const
-{
-    const ListedServer &listed = server.listed();
-    return listed.leaving && now - listed.leavingSince >= parts_.serverLeaveTime - leaveMargin;
-}
-
-// Any server whose log surely or probably holds the position; replicas go before the primary, which
-// alone can write.
-GroupServer *GroupRunner::chooseReader(const JobPtr &job, Instant now)
-{
-    const std::optional<Position> needed = positionNeeded(job, now);
-    job->needs = needed;
-    const bool allLeaving = std::all_of(servers_.begin(), servers_.end(), [](const auto &server) {
-        return server.second->listed().leaving;
-    });
-    GroupServer *best = nullptr;
-    int bestCost = 0;
-    for (const auto &[id, server] : servers_) {
-        const bool isPrimary = id == keeper_.primary();
-        if (!server->hasSlot() || now < server->busyUntil || server->isUnreachable())
-            continue;
-        if (hasLeft(*server, now) || (server->listed().leaving && !allLeaving))
-            continue;
-        if (!isPrimary && (!needed || !mayHold(*server, *needed, now)))
-            continue;
-        if (isPrimary && writesHeld_)
-            continue;
-        const bool farAway = server->listed().zone != parts_.zone;
-        const int cost = 100 * server->inFlight() / std::max(1, server->slots())
-            + (isPrimary ? primaryCost : 0) + (farAway ? farCost : 0)
-            + (job->avoid.count(id) != 0 ? failedCost : 0);
-        if (best != nullptr && cost >= bestCost)
-            continue;
-        best = server.get();
-        bestCost = cost;
-    }
-    return best;
-}
-
-bool GroupRunner::mayHold(const GroupServer &server, Position needed, Instant now) const
-{
-    if (server.shown && needed <= *server.shown)
-        return true;
-    if (now < server.behindUntil)
-        return false;
-    if (now - server.shownAt >= knowledgeAge)
-        return true;
-    const auto seen = positions_.firstSeen(needed);
-    return seen && now - *seen >= 2 * server.lag + guessMargin;
-}
-
-// The position that makes a read right; nothing when only the primary is known to.
-std::optional<Position> GroupRunner::positionNeeded(const JobPtr &job, Instant now)
-{
-    std::optional<Position> needed;
-    switch (job->statement.rule) {
-    case inner::ReadRule::Newest:
-        return positions_.newest();
-    case inner::ReadRule::Bounded:
-    case inner::ReadRule::OwnWrites:
-        needed = positions_.holdsAllUntil(std::min(job->arrived, now) - job->statement.maxAge);
-        break;
-    }
-    const auto &own = job->statement.sessionPosition;
-    if (needed && job->statement.rule == inner::ReadRule::OwnWrites && own && *needed < *own)
-        needed = own;
-    return needed;
-}
-
 // Running
 
 void GroupRunner::start(const JobPtr &job, GroupServer &server,
@@ -583,11 +470,10 @@
 
 void GroupRunner::succeed(const JobPtr &job, const CommandResult &result)
 {
-    const bool commits = job->statement.verb == inner::SessionVerb::Commit
-        || (!job->statement.inTransaction && !isRead(job->statement));
+    const bool keeps = commits(job->statement);
     inner::StatementDone done;
     // An answer that came after the lease may be that of a replaced primary.
-    if (commits && !parts_.ownership.leaseHolds(group_)) {
+    if (keeps && !parts_.ownership.leaseHolds(group_)) {
         done.reason = Reason::LeaseLost;
         done.executed = Executed::Unknown;
         done.detail = "the owner's lease ended before the answer came";
@@ -599,7 +485,7 @@
     done.executed = Executed::Yes;
     done.rows = result.rows;
     done.signature = result.signature;
-    if (commits && result.position) {
+    if (keeps && result.position) {
         done.position = result.position;
         if (job->server == keeper_.primary())
             keeper_.onAcknowledged(*result.position);
@@ -815,96 +701,10 @@
                       "no server was free in time", retryHint());
     }
     // 2. It runs: the connection is given up with it.
-    const bool kept = job->statement.verb == inner::SessionVerb::Commit
-        || (!job->statement.inTransaction && !isRead(job->statement));
+    const bool kept = commits(job->statement);
     refuse(job, Reason::DeadlineExceeded, kept ? Executed::Unknown : Executed::No,
            "the server did not answer in time");
     job->connection->connection->close();
 }
 
-// Transactions
-
-void GroupRunner::endTransaction(inner::LinkId origin, std::uint64_t session)
-{
-    rollBack({origin, session});
-}
-
-void GroupRunner::rollBack(const Origin &origin)
-{
-    const auto open = transactions_.find(origin);
-    if (open == transactions_.end())
-        return giveUpBegin(origin);
-    // 1. While a statement runs in it, only the end of the connection ends it.
-    if (open->second.job) {
-        const JobPtr job = open->second.job;
-        if (!job->running)
-            queue_.remove(job);
-        refuse(job, Reason::TransactionEnded, Executed::No, "the caller ended the transaction");
-        return forgetTransaction(origin, true);
-    }
-    // 2. Otherwise the connection is rolled back and used again.
-    const Transaction transaction = open->second;
-    transactions_.erase(open);
-    GroupServer *server = find(transaction.server);
-    if (server == nullptr || !transaction.connection->connection->isOpen()) {
-        if (server != nullptr)
-            server->discard(transaction.connection);
-        return;
-    }
-    ServerCommand command;
-    command.kind = CommandKind::Rollback;
-    server->sent();
-    transaction.connection->connection->run(
-        {command}, [this, alive = alive_, transaction](BatchResult result) {
-            GroupServer *server = *alive ? find(transaction.server) : nullptr;
-            if (server == nullptr)
-                return;
-            const bool clean = !result.lost && !result.results.empty()
-                && result.results[0].error == ServerError::None && result.results[0].idle;
-            if (clean)
-                server->giveBack(transaction.connection);
-            else
-                server->discard(transaction.connection);
-            pumpSoon();
-        });
-}
-
-// The transaction has not begun yet; it must not do so for nobody.
-void GroupRunner::giveUpBegin(const Origin &origin)
-{
-    std::vector<JobPtr> jobs(queue_.begin(), queue_.end());
-    jobs.insert(jobs.end(), running_.begin(), running_.end());
-    for (const JobPtr &job : jobs) {
-        if (job->origin != origin || job->statement.begins == inner::TransactionMode::None)
-            continue;
-        if (!job->running)
-            queue_.remove(job);
-        refuse(job, Reason::TransactionEnded, Executed::No, "the caller ended the transaction");
-    }
-}
-
-void GroupRunner::forgetTransaction(const Origin &origin, bool close)
-{
-    const auto open = transactions_.find(origin);
-    if (open == transactions_.end())
-        return;
-    const Transaction transaction = open->second;
-    transactions_.erase(open);
-    GroupServer *server = find(transaction.server);
-    if (close && server != nullptr)
-        server->discard(transaction.connection);
-    else if (close)
-        transaction.connection->connection->close();
-}
-
-void GroupRunner::onOriginGone(inner::LinkId origin)
-{
-    std::vector<Origin> gone;
-    for (const auto &[key, transaction] : transactions_)
-        if (key.first == origin)
-            gone.push_back(key);
-    for (const Origin &key : gone)
-        rollBack(key);
-}
-
 } // namespace kelptally::group
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -1,5 +1,7 @@
 #include "session/router.h"
 
+#include "session/statementrules.h"
+
 #include <algorithm>
 
 namespace kelptally::session {
@@ -21,19 +23,6 @@
 // Chosen, not measured: a statement that meets so many lost owners is given up.
 constexpr int maxAttempts = 6;
 
-bool mayRepeat(const inner::RunStatement &statement)
-{
-    // What a transaction has done is gone with its connection unless its commit was sent.
-    if (statement.begins != inner::TransactionMode::None)
-        return statement.verb != inner::SessionVerb::Commit;
-    return !statement.inTransaction && statement.verb == inner::SessionVerb::Read;
-}
-
-bool continuesTransaction(const inner::RunStatement &statement)
-{
-    return statement.inTransaction && statement.begins == inner::TransactionMode::None;
-}
-
 } // namespace
 
 Router::Router(const Parts &parts) : parts_(parts) { }
