--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -29,7 +29,8 @@
 
 int usage(std::ostream &out, int exitCode)
 {
-    out << "usage: kelptally-bench COMMAND [options]   (COMMAND --help lists its options)\n";
+    out << "usage: kelptally-bench COMMAND [options] | --version   (COMMAND --help lists its "
+           "options)\n";
     for (const Command &command : commands)
         out << "  " << command.name << "\t" << command.help << "\n";
     return exitCode;
@@ -44,6 +45,10 @@
     const absl::string_view wanted = argv[1];
     if (wanted == "--help" || wanted == "-h")
         return usage(std::cout, 0);
+    if (wanted == "--version") {
+        std::cout << "kelptally-bench " KELPTALLY_VERSION "\n";
+        return 0;
+    }
     for (const Command &command : commands) {
         if (command.name == wanted)
             return command.run(argc - 1, argv + 1);
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -9,7 +9,6 @@
 using session::commits;
 using session::continuesTransaction;
 using session::isRead;
-using session::mayReadAnywhere;
 using session::needsPrimary;
 
 namespace {
