--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -141,6 +141,9 @@
     CHECK(report->lag == std::chrono::microseconds(12500));
     CHECK(!parseReport("replica 3 - 4 12 2 17"));
     CHECK(!parseReport("leader 3 3.1 4 12 2 17"));
+    CHECK(!parseReport("replica 3 3.1 0 1666666666666666666666666666666.5 2 17"));
+    CHECK(!parseReport("replica 3 3.1 0 -1 2 17"));
+    CHECK(!parseReport("replica 3 3.1 0 nan 2 17"));
 }
 
 TEST_CASE("Commands are written with their position before the statement")
