Notice store connections that went silent: repeat reads, distrust idle ones for writes

Cause: an open connection may go silent without a reset. TCP keep-alive did not show it. Ruled out: the store itself (new connections were served at once). Change: a GET on a connection used before is sent again on a new one when its answer is 500 ms overdue; anything else takes a connection that answered within the last second, or a new one.

--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -32,6 +32,12 @@
 // A configuration document of the largest size in JSON, with room for its escapes.
 constexpr std::uint64_t maxResponseBytes = 16u << 20;
 constexpr unsigned httpVersion = 11;
+// A GET on a connection used before is sent again on a new one after this long without an answer:
+// the store's slowest answers that were measured took 400 ms.
+constexpr Duration silentAfter = std::chrono::milliseconds(500);
+// A connection whose last answer is older may have gone silent: only a GET, which may be sent
+// twice, uses it. Chosen, not measured: opening a connection costs one round trip.
+constexpr Duration trustedFor = std::chrono::seconds(1);
 
 http::verb verbOf(HttpMethod method)
 {
@@ -73,6 +79,7 @@
     HttpRequest request;
     HttpCallback callback;
     TimerId timer = 0;
+    TimerId silenceTimer = 0;
     // Whether any byte may have left this process.
     bool sent = false;
     bool retried = false;
@@ -103,7 +110,10 @@
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     void dispatch();
-    ConnectionPtr takeConnection();
+    ConnectionPtr takeConnection(const Job &job);
+    void watchSilence(const JobPtr &job);
+    void onSilent(const JobPtr &job);
+    void drop(const JobPtr &job);
     void release(const ConnectionPtr &connection);
     void remove(const ConnectionPtr &connection);
     void expire(const JobPtr &job);
@@ -128,9 +138,14 @@
 
     void run(JobPtr job);
     void close();
+    // Whatever still happens on the connection tells nothing of the call.
+    void forgetJob() { job_ = nullptr; }
     // Whether the server still holds the connection open, as far as it has told.
     bool isAlive();
     const JobPtr &job() const { return job_; }
+    bool isReused() const { return reused_; }
+    // When it last answered; the beginning of time before that.
+    Instant answeredAt() const { return answeredAt_; }
 
 private:
     void connect(const std::shared_ptr<Pool> &pool);
@@ -144,6 +159,7 @@
     JobPtr job_;
     bool connected_ = false;
     bool reused_ = false;
+    Instant answeredAt_ {};
     http::request<http::string_body> request_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
@@ -188,7 +204,7 @@
 
 void HttpClient::Pool::Connection::write()
 {
-    if (job_->done)
+    if (!job_ || job_->done)
         return;
     job_->sent = true;
     http::async_write(socket_, request_,
@@ -214,7 +230,7 @@
 void HttpClient::Pool::Connection::onResponse()
 {
     const auto pool = pool_.lock();
-    if (!pool || job_->done)
+    if (!pool || !job_ || job_->done)
         return;
     HttpResponse response;
     response.status = static_cast<int>(parser_->get().result_int());
@@ -222,6 +238,7 @@
     response.body = std::move(parser_->get().body());
     const JobPtr job = std::move(job_);
     job_ = nullptr;
+    answeredAt_ = pool->timers_.now();
     // Bytes beyond the answer belong to no call.
     if (parser_->keep_alive() && buffer_.size() == 0)
         pool->release(shared_from_this());
@@ -287,20 +304,26 @@
 void HttpClient::Pool::dispatch()
 {
     while (!queue_.empty()) {
-        const ConnectionPtr connection = takeConnection();
+        const JobPtr job = queue_.front();
+        const ConnectionPtr connection = takeConnection(*job);
         if (!connection)
             return;
-        const JobPtr job = queue_.front();
         queue_.pop_front();
         busy_.push_back(connection);
         connection->run(job);
+        if (connection->isReused() && !job->retried && job->request.method == HttpMethod::Get)
+            watchSilence(job);
     }
 }
 
-HttpClient::Pool::ConnectionPtr HttpClient::Pool::takeConnection()
+HttpClient::Pool::ConnectionPtr HttpClient::Pool::takeConnection(const Job &job)
 {
+    const bool mayRepeat = job.request.method == HttpMethod::Get;
     while (!idle_.empty()) {
         const ConnectionPtr connection = idle_.back();
+        // The last one answered most recently.
+        if (!mayRepeat && timers_.now() - connection->answeredAt() > trustedFor)
+            break;
         idle_.pop_back();
         if (connection->isAlive())
             return connection;
@@ -323,14 +346,41 @@
     connection->close();
 }
 
+void HttpClient::Pool::watchSilence(const JobPtr &job)
+{
+    const std::weak_ptr<Pool> weak = shared_from_this();
+    job->silenceTimer =
+        timers_.subscribeAfter(job->request.heldBack + silentAfter, [weak, job] {
+            if (const auto pool = weak.lock())
+                pool->onSilent(job);
+        });
+}
+
+void HttpClient::Pool::onSilent(const JobPtr &job)
+{
+    if (job->done || job->retried)
+        return;
+    drop(job);
+    retry(job);
+}
+
+// Closes the connection that the call is on.
+void HttpClient::Pool::drop(const JobPtr &job)
+{
+    for (const auto &connection : std::vector<ConnectionPtr>(busy_)) {
+        if (connection->job() != job)
+            continue;
+        remove(connection);
+        connection->forgetJob();
+    }
+}
+
 void HttpClient::Pool::expire(const JobPtr &job)
 {
     if (job->done)
         return;
     queue_.erase(std::remove(queue_.begin(), queue_.end(), job), queue_.end());
-    for (const auto &connection : std::vector<ConnectionPtr>(busy_))
-        if (connection->job() == job)
-            remove(connection);
+    drop(job);
     const std::string text = address_ + ": no answer within the timeout";
     finish(job, job->sent ? absl::DeadlineExceededError(text) : absl::UnavailableError(text));
 }
@@ -350,6 +400,7 @@
         return;
     job->done = true;
     timers_.cancel(job->timer);
+    timers_.cancel(job->silenceTimer);
     const HttpCallback callback = std::move(job->callback);
     job->callback = nullptr;
     const auto self = shared_from_this();
@@ -363,6 +414,7 @@
         if (connection->job()) {
             connection->job()->done = true;
             timers_.cancel(connection->job()->timer);
+            timers_.cancel(connection->job()->silenceTimer);
         }
         connection->close();
     }
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -44,6 +44,8 @@
     std::string etag;
     // Header fields besides the usual ones.
     std::vector<HttpField> fields;
+    // How long the server may hold the answer back, as in a question for changes.
+    Duration heldBack {0};
 };
 
 struct HttpResponse
@@ -62,8 +64,10 @@
 //
 // Errors: Unavailable when nothing of the request left this process; DeadlineExceeded when it was
 // sent and no answer came in time; Unknown when the connection broke after it was sent. A GET that
-// breaks on a connection used before is sent once more, anything else never. A call that is given
-// up resets its connection, so that a request still on its way cannot arrive later.
+// breaks or stays unanswered on a connection used before is sent once more, anything else never. A
+// call that is given up resets its connection, so that a request still on its way cannot arrive
+// later. Open connections may have gone silent without a reset: anything but a GET goes out on a
+// connection that was opened or answered a moment ago.
 class HttpClient
 {
 public:
--- a/tests/services/httpservices_test.cpp
+++ b/tests/services/httpservices_test.cpp
@@ -58,6 +58,50 @@
     std::thread thread_;
 };
 
+// A server whose connections go silent after their first answer, while new ones work.
+class SilentServer
+{
+public:
+    explicit SilentServer(std::string answer)
+        : acceptor_(context_, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+          answer_(std::move(answer)), thread_([this] { run(); })
+    { }
+
+    ~SilentServer()
+    {
+        stopping_ = true;
+        Tcp::socket wake(context_);
+        wake.connect(acceptor_.local_endpoint());
+        wake.close();
+        thread_.join();
+    }
+
+    std::string address() const
+    {
+        return PlatformFixture::addressOf(acceptor_.local_endpoint().port());
+    }
+
+private:
+    void run()
+    {
+        while (!stopping_) {
+            Tcp::socket socket = acceptor_.accept();
+            boost::system::error_code ignored;
+            boost::asio::streambuf buffer;
+            boost::asio::read_until(socket, buffer, "\r\n\r\n", ignored);
+            boost::asio::write(socket, boost::asio::buffer(answer_), ignored);
+            silent_.push_back(std::move(socket));
+        }
+    }
+
+    boost::asio::io_context context_;
+    Tcp::acceptor acceptor_;
+    const std::string answer_;
+    std::atomic<bool> stopping_ {false};
+    std::vector<Tcp::socket> silent_;
+    std::thread thread_;
+};
+
 std::string httpAnswer(const std::string &status, const std::string &body)
 {
     return "HTTP/1.1 " + status
@@ -277,3 +321,22 @@
     CHECK(fixture.listHosts()->size() == 1);
     CHECK(fixture.request(HttpMethod::Put, "/hosts", R"({"hosts":5})").status == 400);
 }
+
+TEST_CASE("a read on a connection that has gone silent is sent again on a new one")
+{
+    SilentServer server(httpAnswer("404 Not Found", "{}"));
+    PlatformFixture fixture;
+    redirect(fixture, server.address(), 3s);
+    REQUIRE(fixture.read("t", "k").ok());
+    CHECK(fixture.read("t", "k").ok());
+}
+
+TEST_CASE("a write goes out on a connection that answered a moment ago, or on a new one")
+{
+    SilentServer server(httpAnswer("200 OK", R"({"etags":["1"]})"));
+    PlatformFixture fixture;
+    redirect(fixture, server.address(), 3s);
+    REQUIRE(fixture.write({{"t", "k", "v", {}}}).ok());
+    std::this_thread::sleep_for(1100ms);
+    CHECK(fixture.write({{"t", "k", "v", {}}}).ok());
+}
