Renew silent links between hosts, and resume statements over another link

Ruled out: slow claims alone (the claims themselves took 15 ms); resets, which ended statements in the same way but without claims. Change: an owner that owes answers and has been quiet for 200 ms gets a second link beside the first, which replaces it once it is up. Statements that leave something at the owner are sent again over the next link under the same number; the owner runs each number once and keeps its answers for three seconds. Each owner that a statement is given to gets a new number, so that late answers of earlier ones are told apart. An entry's transactions outlive its link by 600 ms. Tests: world_test (silent links, resets, a transaction over both) and inner_test (renewal through a relay that loses).

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -1,7 +1,8 @@
 #include "group/grouphost.h"
 
+#include "session/statementrules.h"
+
 #include <algorithm>
-#include <set>
 
 namespace kelptally::group {
 
@@ -14,6 +15,10 @@
 // More than this an entry could hardly use at once without filling the server's slots.
 constexpr int mostLent = 2;
 constexpr Duration quietPeriod = std::chrono::milliseconds(100);
+// An entry without a link is gone after this long: one that lives dials again after 25 to 50 ms.
+constexpr Duration entryReturns = std::chrono::milliseconds(600);
+// Answers are kept for longer than an entry needs to notice that its link is silent.
+constexpr Duration keepAnswers = std::chrono::seconds(3);
 
 } // namespace
 
@@ -139,10 +144,70 @@
 void GroupHost::onStatement(inner::LinkId link, inner::RunStatement statement)
 {
     const GroupName group = statement.group;
-    run(link, std::move(statement), [this, link, group](inner::StatementDone done) {
+    Entry *entry = entryOf(link);
+    if (entry == nullptr)
+        return;
+    const auto lend = [this, link, group](inner::StatementDone &done) {
         done.lentConnections = lentTo(link, group);
-        static_cast<void>(parts_.links.sendOn(link, std::move(done)));
-    });
+    };
+    // 1. A single read may run twice.
+    if (session::isSingleRead(statement)) {
+        return run(entry->origin, std::move(statement), [this, link, lend](auto done) {
+            lend(done);
+            static_cast<void>(parts_.links.sendOn(link, std::move(done)));
+        });
+    }
+    // 2. Anything else runs once: a second copy waits for the first one's answer, or gets it.
+    const auto [answer, isNew] = entry->answers.try_emplace(statement.requestId);
+    answer->second.link = link;
+    if (!isNew) {
+        parts_.log.info("statement_repeated")
+            .with("id", statement.statementId)
+            .with("answered", answer->second.done.has_value());
+        if (answer->second.done)
+            static_cast<void>(parts_.links.sendOn(link, *answer->second.done));
+        return;
+    }
+    run(entry->origin, std::move(statement),
+        [this, lend, address = entry->process.address, origin = entry->origin](auto done) {
+            lend(done);
+            onAnswered(address, origin, std::move(done));
+        });
+}
+
+void GroupHost::onAnswered(const std::string &address, inner::LinkId origin,
+                           inner::StatementDone done)
+{
+    const auto found = entries_.find(address);
+    if (found == entries_.end() || found->second.origin != origin)
+        return;
+    Entry &entry = found->second;
+    const auto answer = entry.answers.find(done.requestId);
+    if (answer == entry.answers.end())
+        return;
+    static_cast<void>(parts_.links.sendOn(answer->second.link, done));
+    const Instant now = parts_.timers.now();
+    entry.answered.emplace_back(now, done.requestId);
+    answer->second.done = std::move(done);
+    while (now - entry.answered.front().first > keepAnswers) {
+        entry.answers.erase(entry.answered.front().second);
+        entry.answered.pop_front();
+    }
+}
+
+void GroupHost::onEndTransaction(inner::LinkId link, const inner::EndTransaction &end)
+{
+    if (const Entry *entry = entryOf(link))
+        endTransaction(entry->origin, end.group, end.session);
+}
+
+GroupHost::Entry *GroupHost::entryOf(inner::LinkId link)
+{
+    const auto peer = peers_.find(link);
+    if (peer == peers_.end())
+        return nullptr;
+    const auto entry = entries_.find(peer->second.process.address);
+    return entry == entries_.end() ? nullptr : &entry->second;
 }
 
 // Answered once it is true.
@@ -181,13 +246,41 @@
 void GroupHost::onPeerUp(inner::LinkId link, const inner::Hello &peer)
 {
     peers_[link] = peer;
+    const std::string &address = peer.process.address;
+    const auto known = entries_.find(address);
+    if (known != entries_.end() && known->second.process != peer.process)
+        endEntry(address);
+    Entry &entry = entries_[address];
+    if (entry.origin == 0) {
+        entry.process = peer.process;
+        entry.origin = ++lastOrigin_;
+    }
+    entry.links.insert(link);
+    parts_.timers.cancel(entry.gone);
 }
 
 void GroupHost::onPeerDown(inner::LinkId link)
 {
+    Entry *entry = entryOf(link);
     peers_.erase(link);
+    if (entry == nullptr || entry->links.erase(link) == 0 || !entry->links.empty())
+        return;
+    const std::string address = entry->process.address;
+    entry->gone =
+        parts_.timers.subscribeAfter(entryReturns, [this, address] { endEntry(address); });
+}
+
+// What its sessions have open is rolled back.
+void GroupHost::endEntry(const std::string &address)
+{
+    const auto found = entries_.find(address);
+    if (found == entries_.end())
+        return;
+    const inner::LinkId origin = found->second.origin;
+    parts_.timers.cancel(found->second.gone);
+    entries_.erase(found);
     for (const auto &[group, held] : groups_)
-        held.runner->onOriginGone(link);
+        held.runner->onOriginGone(origin);
 }
 
 void GroupHost::handOverAll(const std::map<std::string, inner::Hello> &peers)
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -2,8 +2,11 @@
 
 #include "group/grouprunner.h"
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <set>
+#include <unordered_map>
 
 namespace kelptally::group {
 
@@ -50,6 +53,7 @@
 
     // From peers.
     void onStatement(inner::LinkId link, inner::RunStatement statement);
+    void onEndTransaction(inner::LinkId link, const inner::EndTransaction &end);
     void onEndRequest(inner::LinkId link, const inner::OwnershipEndRequest &request);
     void onPeerUp(inner::LinkId link, const inner::Hello &peer);
     void onPeerDown(inner::LinkId link);
@@ -69,6 +73,29 @@
         bool handingOver = false;
     };
 
+    // What an entry has been answered, or will be, so that a statement which it sends again on
+    // another link runs once.
+    struct Answer
+    {
+        // The link that it came on last.
+        inner::LinkId link = 0;
+        std::optional<inner::StatementDone> done;
+    };
+    // One run of an entry, over all its links.
+    struct Entry
+    {
+        ProcessId process;
+        // Names it to the runners.
+        inner::LinkId origin = 0;
+        std::set<inner::LinkId> links;
+        TimerId gone = 0;
+        std::unordered_map<inner::RequestId, Answer> answers;
+        std::deque<std::pair<Instant, inner::RequestId>> answered;
+    };
+
+    Entry *entryOf(inner::LinkId link);
+    void onAnswered(const std::string &address, inner::LinkId origin, inner::StatementDone done);
+    void endEntry(const std::string &address);
     Held &held(const GroupName &group);
     GroupRunner *find(const GroupName &group) const;
     void closeWhenQuiet(const GroupName &group);
@@ -81,6 +108,9 @@
     std::map<GroupName, Held> groups_;
     // Peers by link.
     std::map<inner::LinkId, inner::Hello> peers_;
+    // By address.
+    std::map<std::string, Entry> entries_;
+    inner::LinkId lastOrigin_ = 0;
 };
 
 } // namespace kelptally::group
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -178,7 +178,7 @@
         static_cast<void>(links_->sendOn(link, inner::Stopping {self_}));
     groups_->onPeerUp(link, peer);
     groups_->ownership().onPeerUp(peer.process);
-    router_->onPeerUp(peer.process.address);
+    router_->onPeerUp(peer.process);
 }
 
 void HostProcess::onPeerMessage(inner::LinkId link, inner::Message message)
@@ -210,12 +210,12 @@
 
 void HostProcess::handle(inner::LinkId, inner::StatementDone &message)
 {
-    router_->onDone(std::move(message));
+    router_->onAnswer(std::move(message));
 }
 
 void HostProcess::handle(inner::LinkId link, inner::EndTransaction &message)
 {
-    groups_->endTransaction(link, message.group, message.session);
+    groups_->onEndTransaction(link, message);
 }
 
 void HostProcess::handle(inner::LinkId link, inner::AliveRequest &message)
--- a/src/inner/linkstate.h
+++ b/src/inner/linkstate.h
@@ -103,6 +103,8 @@
     // Calls of connect() that no drop() has undone.
     int users = 0;
     LinkPtr link;
+    // Dialled beside the link, to take its place.
+    LinkPtr renewal;
     TimerId retry = 0;
     Duration pause {0};
     std::string lastCause;
--- a/src/inner/peerlink.h
+++ b/src/inner/peerlink.h
@@ -36,6 +36,10 @@
     // connect() is undone by one drop(): parts that share the links don't cut each other off.
     virtual void connect(const std::string &address) = 0;
     virtual void drop(const std::string &address) = 0;
+    // The link to the address answers nothing, though the peer may live: an open connection may go
+    // silent while new ones work. Dials another beside it, which takes its place once it is up;
+    // until then nothing changes, and if it can't be opened nothing does.
+    virtual void renew(const std::string &address) = 0;
 
     // Sends on the link to the address; Unavailable when it is not up, ResourceExhausted when its
     // bounded send buffer is full, OutOfRange when the message is over a bound of the codec.
--- a/src/inner/websocketlinks.cpp
+++ b/src/inner/websocketlinks.cpp
@@ -36,6 +36,7 @@
 
     void connect(const std::string &address) override;
     void drop(const std::string &address) override;
+    void renew(const std::string &address) override;
     absl::Status sendTo(const std::string &address, Message message) override;
     absl::Status sendOn(LinkId link, Message message) override;
 
@@ -43,6 +44,8 @@
     // Links coming and going; on the links' thread.
     void setUp(Server &server);
     void dial(const std::string &address);
+    LinkPtr dialOnce(const std::string &address);
+    void replaceByRenewal(const LinkPtr &renewal);
     void dialLater(const std::string &address, bool refused);
     void accept(const Connection &connection);
     bool mayAccept() const;
@@ -190,25 +193,59 @@
         thread_.timers().cancel(target.retry);
         if (target.link)
             giveUp(target.link, absl::CancelledError("dropped"));
+        if (target.renewal)
+            giveUp(target.renewal, absl::CancelledError("dropped"));
+    });
+}
+
+void WebsocketLinks::renew(const std::string &address)
+{
+    boost::asio::post(thread_.context(), [this, address] {
+        const auto found = targets_.find(address);
+        if (found == targets_.end() || found->second.renewal)
+            return;
+        // One that is not up yet is a new one anyway.
+        if (found->second.link && found->second.link->proven)
+            found->second.renewal = dialOnce(address);
     });
 }
 
 void WebsocketLinks::dial(const std::string &address)
+{
+    targets_[address].link = dialOnce(address);
+}
+
+// Null when nothing can be dialled.
+LinkPtr WebsocketLinks::dialOnce(const std::string &address)
 {
     if (stopping_)
-        return;
+        return nullptr;
     websocketpp::lib::error_code error;
     const Connection connection = client_.get_connection("ws://" + address + "/", error);
     if (error) {
         LOG(WARNING) << "event=peer_address_invalid peer=" << address;
-        return;
+        return nullptr;
     }
     const auto link =
         std::make_shared<Link>(++lastId_, LinkRole::Connector, options_, ownHello(), address);
-    targets_[address].link = link;
     adopt(link, connection);
     connection->set_open_handler([this, link](Handle) { onOpen(link); });
     client_.connect(connection);
+    return link;
+}
+
+// The silent link goes once the other one is up, so that messages find one of them at any time.
+void WebsocketLinks::replaceByRenewal(const LinkPtr &renewal)
+{
+    const auto target = targets_.find(renewal->dialled);
+    if (target == targets_.end() || target->second.renewal != renewal)
+        return;
+    const LinkPtr silent = target->second.link;
+    target->second.link = renewal;
+    target->second.renewal = nullptr;
+    thread_.timers().cancel(target->second.retry);
+    if (silent)
+        giveUp(silent, absl::DeadlineExceededError("silent, and another link is up"));
 }
 
 // Tries again after a pause that doubles up to its bound, shortened at random by up to half.
@@ -295,6 +332,7 @@
     LOG(INFO) << "event=peer_up link=" << link->channel->id << " peer=" << link->peerAddress
               << " host=" << peer.host << " dialled=" << (link->role == LinkRole::Connector);
     events_.onPeerUp(link->channel->id, peer);
+    replaceByRenewal(link);
 }
 
 // Tells the other end why, and closes.
@@ -362,6 +400,8 @@
                   << " cause=\"" << why.message() << '"';
     if (link->proven)
         events_.onPeerDown(link->channel->id, link->peerAddress, why);
+    if (target != targets_.end() && target->second.renewal == link)
+        target->second.renewal = nullptr;
     if (target != targets_.end() && target->second.link == link) {
         target->second.lastCause = std::string(why.message());
         dialLater(link->dialled, refusedThere || !link->refused.ok());
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -3,6 +3,7 @@
 #include "session/statementrules.h"
 
 #include <algorithm>
+#include <map>
 
 namespace kelptally::session {
 
@@ -12,16 +13,27 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(40);
 // An owner that was silent for this long is asked whether it is there.
 constexpr Duration askAfter = std::chrono::milliseconds(120);
+// And after this long, two questions, another link to it is dialled beside the one that may have
+// gone silent.
+constexpr Duration renewAfter = std::chrono::milliseconds(200);
 // And counts as gone after this long: four questions and the way of an answer between zones.
 constexpr Duration silentAfter = std::chrono::milliseconds(450);
 // A tick that comes later than this means that this process itself stood still.
 constexpr Duration ownPause = std::chrono::milliseconds(160);
+// A link that went comes back within this time if both ends live: a reset one is dialled again
+// after 25 to 50 ms. Statements that may not be repeated wait for it, and for the owner's answer.
+constexpr Duration resumeTime = std::chrono::milliseconds(300);
+// Ends of transactions are sent again on the next link if they are not older than the time in which
+// a silent link is noticed; in number chosen, not measured.
+constexpr Duration resendEndsFor = std::chrono::milliseconds(2500);
+constexpr std::size_t maxResentEnds = 256;
 // What a caller is told to wait for an owner: about the time of a takeover.
 constexpr Duration takeoverTime = std::chrono::milliseconds(500);
 // What a caller of a host that stops is told to wait before it comes back through another.
 constexpr Duration elsewhereSoon = std::chrono::milliseconds(20);
 // Chosen, not measured: a statement that meets so many lost owners is given up.
 constexpr int maxAttempts = 6;
+const std::string linkDown = "link_down";
 
 } // namespace
 
@@ -79,12 +91,22 @@
     const auto found = transactions_.find(session);
     if (found == transactions_.end())
         return;
-    const std::string address = found->second;
+    const std::string address = found->second.address;
     transactions_.erase(found);
     if (address.empty())
         return parts_.local.endTransaction(0, group, session);
-    // Without a link the owner has rolled it back already.
-    static_cast<void>(parts_.links.sendTo(address, inner::EndTransaction {group, session}));
+    const inner::EndTransaction end {group, session};
+    static_cast<void>(parts_.links.sendTo(address, end));
+    noteEnd(peers_[address], end);
+}
+
+// Without a link the owner rolls back by itself, unless the link comes back soon.
+void Router::noteEnd(Peer &peer, const inner::EndTransaction &end)
+{
+    const Instant now = parts_.timers.now();
+    peer.ended.emplace_back(now, end);
+    while (peer.ended.size() > maxResentEnds || now - peer.ended.front().first > resendEndsFor)
+        peer.ended.pop_front();
 }
 
 void Router::place(inner::RequestId id)
@@ -96,11 +118,15 @@
         if (place == transactions_.end())
             return refuse(id, Reason::TransactionEnded, Executed::No,
                           "the owner of the transaction is gone");
-        if (place->second.empty())
+        const std::string &address = place->second.address;
+        if (address.empty())
             return runHere(id, pending);
-        if (!sendTo(id, pending, {0, {place->second, 0}}))
-            refuse(id, Reason::TransactionEnded, Executed::No,
-                   "the owner of the transaction cannot be reached");
+        if (sendTo(id, pending, {0, {address, 0}}))
+            return;
+        if (mayComeBack(peers_[address]))
+            return waitFor(id, pending);
+        refuse(id, Reason::TransactionEnded, Executed::No,
+               "the owner of the transaction cannot be reached");
         return;
     }
     // 2. Anything else goes to the owner of now.
@@ -128,20 +154,23 @@
     Peer &peer = peers_[address];
     need(peer, now);
     pending.statement.timeLeft = std::max(Duration(0), pending.deadline - now);
+    pending.statement.requestId = ++lastSent_;
     const absl::Status sent = parts_.links.sendTo(address, pending.statement);
     if (absl::IsUnavailable(sent) && !peer.dialled) {
         peer.dialled = true;
         parts_.links.connect(address);
     }
+    if (absl::IsUnavailable(sent) && peer.downSince == Instant())
+        peer.downSince = now;
     if (!sent.ok())
         return false;
     ++peer.open;
+    sent_[pending.statement.requestId] = id;
     pending.address = address;
     pending.sentAt = now;
     ++pending.attempts;
     if (pending.statement.begins != inner::TransactionMode::None)
-        transactions_[pending.statement.session] = address;
-    static_cast<void>(id);
+        transactions_[pending.statement.session] = {address, pending.statement.group};
     return true;
 }
 
@@ -152,7 +181,7 @@
     ++pending.attempts;
     pending.statement.timeLeft = std::max(Duration(0), pending.deadline - now);
     if (pending.statement.begins != inner::TransactionMode::None)
-        transactions_[pending.statement.session] = std::string();
+        transactions_[pending.statement.session] = {std::string(), pending.statement.group};
     // Answers may come from within the call, and callers expect them later.
     parts_.local.run(0, pending.statement, [this, id](inner::StatementDone done) {
         done.requestId = id;
@@ -183,6 +212,15 @@
     }
 }
 
+void Router::onAnswer(inner::StatementDone done)
+{
+    const auto found = sent_.find(done.requestId);
+    if (found == sent_.end())
+        return;
+    done.requestId = found->second;
+    onDone(std::move(done));
+}
+
 void Router::onDone(inner::StatementDone done)
 {
     const auto found = pending_.find(done.requestId);
@@ -240,6 +278,7 @@
     if (pending.address.empty())
         return;
     --peers_[pending.address].open;
+    sent_.erase(pending.statement.requestId);
     pending.address.clear();
 }
 
@@ -254,22 +293,86 @@
     placeWaiting();
 }
 
-void Router::onPeerUp(const std::string &address)
+void Router::onPeerUp(const ProcessId &process)
 {
-    onHeard(address);
+    Peer &peer = peers_[process.address];
+    const bool restarted = peer.incarnation != 0 && peer.incarnation != process.incarnation;
+    peer.incarnation = process.incarnation;
+    if (restarted)
+        onPeerLost(process.address, "restarted");
+    onHeard(process.address);
+    if (peer.resend || peer.downSince != Instant())
+        resume(process.address, peer);
     placeWaiting();
 }
 
+// The same run of the process is there again: it still has what it was sent, or gets it now.
+void Router::resume(const std::string &address, Peer &peer)
+{
+    const absl::Status up = parts_.links.sendTo(address, inner::AliveRequest {++askSequence_});
+    if (absl::IsUnavailable(up))
+        return;
+    peer.resend = false;
+    peer.downSince = Instant();
+    const Instant now = parts_.timers.now();
+    for (const auto &[when, end] : peer.ended)
+        static_cast<void>(parts_.links.sendTo(address, end));
+    std::size_t count = 0;
+    for (auto &[id, pending] : pending_) {
+        if (pending.address != address)
+            continue;
+        ++count;
+        pending.statement.timeLeft = std::max(Duration(0), pending.deadline - now);
+        static_cast<void>(parts_.links.sendTo(address, pending.statement));
+    }
+    parts_.log.info("link_resumed").with("peer", address).with("statements", std::uint64_t(count));
+}
+
+bool Router::mayComeBack(const Peer &peer) const
+{
+    return peer.downSince != Instant() && parts_.timers.now() - peer.downSince < resumeTime;
+}
+
 void Router::onPeerDown(const std::string &address)
 {
     // The link that went may be the other end's; ours is gone if nothing can be sent.
     if (!absl::IsUnavailable(parts_.links.sendTo(address, inner::AliveRequest {++askSequence_})))
         return;
-    onPeerLost(address, "link_down");
+    // Single reads go to whoever can be reached; what leaves something at the owner waits for the
+    // link.
+    Peer &peer = peers_[address];
+    peer.resend = true;
+    if (peer.downSince == Instant())
+        peer.downSince = parts_.timers.now();
+    std::vector<inner::RequestId> reads;
+    std::map<GroupName, OwnerRef> suspects;
+    for (const auto &[id, pending] : pending_) {
+        if (pending.address != address)
+            continue;
+        if (isSingleRead(pending.statement))
+            reads.push_back(id);
+        else if (pending.epoch != 0)
+            suspects[pending.statement.group] = {pending.epoch, {address, 0}};
+    }
+    for (const inner::RequestId id : reads)
+        onAnswerLost(id, linkDown);
+    for (const auto &[group, owner] : suspects)
+        parts_.owners.suspectOwner(group, owner, linkDown);
 }
 
-void Router::onOwnerChanged(const GroupName &)
+void Router::onOwnerChanged(const GroupName &group)
 {
+    // What may be repeated need not wait for a link to an owner that has been followed.
+    const std::optional<OwnerRef> owner = parts_.owners.owner(group);
+    std::vector<inner::RequestId> freed;
+    for (const auto &[id, pending] : pending_) {
+        const bool elsewhere = !owner || owner->process.address != pending.address;
+        if (pending.statement.group == group && !pending.address.empty() && elsewhere
+            && mayRepeat(pending.statement) && peers_[pending.address].downSince != Instant())
+            freed.push_back(id);
+    }
+    for (const inner::RequestId id : freed)
+        onAnswerLost(id, "followed");
     placeWaiting();
 }
 
@@ -279,8 +382,15 @@
     for (const auto &[id, pending] : pending_)
         if (pending.address == address)
             lost.push_back(id);
-    for (auto place = transactions_.begin(); place != transactions_.end();)
-        place = place->second == address ? transactions_.erase(place) : std::next(place);
+    // If the process lives after all, it must not keep them open.
+    for (auto place = transactions_.begin(); place != transactions_.end();) {
+        if (place->second.address != address) {
+            ++place;
+            continue;
+        }
+        noteEnd(peers_[address], {place->second.group, place->first});
+        place = transactions_.erase(place);
+    }
     for (const inner::RequestId id : lost)
         onAnswerLost(id, why);
 }
@@ -290,6 +400,8 @@
     Pending &pending = pending_.at(id);
     const GroupName group = pending.statement.group;
     const OwnerRef owner {pending.epoch, {pending.address, 0}};
+    if (pending.statement.inTransaction && transactions_.erase(pending.statement.session) != 0)
+        noteEnd(peers_[pending.address], {group, pending.statement.session});
     leavePeer(pending);
     parts_.log.info("owner_answer_lost", why)
         .with("id", pending.statement.statementId)
@@ -317,13 +429,20 @@
     const bool paused = now - lastTick_ > ownPause;
     lastTick_ = now;
     std::vector<std::string> watched;
+    std::vector<std::string> lost;
     for (auto &[address, peer] : peers_) {
+        if (paused && peer.downSince != Instant())
+            peer.downSince = now;
+        if (peer.downSince != Instant() && !mayComeBack(peer) && peer.open > 0)
+            lost.push_back(address);
         if (paused)
             peer.lastHeard = now;
         peer.needed = peer.open > 0 || (peer.needed && !waiting_.empty());
         if (peer.needed)
             watched.push_back(address);
     }
+    for (const std::string &address : lost)
+        onPeerLost(address, linkDown);
     for (const std::string &address : watched)
         watch(address, peers_[address], now);
     placeWaiting();
@@ -346,6 +465,10 @@
         peer.lastAsked = now;
         static_cast<void>(parts_.links.sendTo(address, inner::AliveRequest {++askSequence_}));
     }
+    if (quiet >= renewAfter && peer.downSince == Instant() && !peer.silent) {
+        peer.resend = true;
+        parts_.links.renew(address);
+    }
     if (quiet < silentAfter || peer.silent)
         return;
     peer.silent = true;
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -6,6 +6,7 @@
 #include "inner/peerlink.h"
 #include "session/callersession.h"
 
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -88,10 +89,11 @@
     void cancel(inner::RequestId id) override;
     void endTransaction(const GroupName &group, std::uint64_t session) override;
 
-    void onDone(inner::StatementDone done);
+    // An owner's answer over its link.
+    void onAnswer(inner::StatementDone done);
     // Anything at all was heard from the process.
     void onHeard(const std::string &address);
-    void onPeerUp(const std::string &address);
+    void onPeerUp(const ProcessId &process);
     void onPeerDown(const std::string &address);
     void onOwnerChanged(const GroupName &group);
 
@@ -106,7 +108,7 @@
         DoneCallback callback;
         Instant deadline;
         Instant sentAt;
-        // Where it was sent; empty while it waits.
+        // Where it was sent, under the number in the statement; empty while it waits.
         std::string address;
         OwnerEpoch epoch = 0;
         int attempts = 0;
@@ -121,6 +123,14 @@
         bool needed = false;
         // Statements that it owes an answer.
         int open = 0;
+        // The run of the process that was heard last.
+        Incarnation incarnation = 0;
+        // Since when there has been no link to it; the beginning of time while there is one.
+        Instant downSince {};
+        // What it owes was sent on a link that is lost or silent, and goes again on the next one.
+        bool resend = false;
+        // Ends of transactions that may have been lost with the link.
+        std::deque<std::pair<Instant, inner::EndTransaction>> ended;
     };
 
     void runNear(inner::RequestId id);
@@ -133,6 +143,11 @@
     void refuse(inner::RequestId id, Reason reason, Executed executed, const std::string &detail,
                 Duration retryAfter = {});
     void leavePeer(Pending &pending);
+    void onDone(inner::StatementDone done);
+    void noteEnd(Peer &peer, const inner::EndTransaction &end);
+    void resume(const std::string &address, Peer &peer);
+    // A link that went a moment ago is likely to come back.
+    bool mayComeBack(const Peer &peer) const;
     // The answers of everything sent to the process will not come.
     void onPeerLost(const std::string &address, const std::string &why);
     void onAnswerLost(inner::RequestId id, const std::string &why);
@@ -145,9 +160,18 @@
     std::unordered_map<inner::RequestId, Pending> pending_;
     std::vector<inner::RequestId> waiting_;
     std::unordered_map<std::string, Peer> peers_;
-    // Where the open transaction of a session is; empty for this process.
-    std::unordered_map<std::uint64_t, std::string> transactions_;
+    // Where the open transaction of a session is; the address is empty for this process.
+    struct Place
+    {
+        std::string address;
+        GroupName group;
+    };
+    std::unordered_map<std::uint64_t, Place> transactions_;
     inner::RequestId lastId_ = 0;
+    // Statements by the number under which an owner has them. Each owner that one is given to gets
+    // another number, so that the answer of an earlier one is told apart.
+    std::unordered_map<inner::RequestId, inner::RequestId> sent_;
+    inner::RequestId lastSent_ = 0;
     std::uint64_t askSequence_ = 0;
     bool taking_ = true;
     bool ticking_ = false;
--- a/src/session/statementrules.h
+++ b/src/session/statementrules.h
@@ -16,6 +16,13 @@
     return statement.inTransaction && statement.begins == inner::TransactionMode::None;
 }
 
+// A read that belongs to no transaction: it leaves nothing behind, wherever and however often it
+// runs.
+inline bool isSingleRead(const inner::RunStatement &statement)
+{
+    return !statement.inTransaction && isRead(statement);
+}
+
 // Its effect, if it has one, stays when it is done: a commit, or a write on its own.
 inline bool commits(const inner::RunStatement &statement)
 {
@@ -28,7 +35,7 @@
 {
     if (statement.begins == inner::TransactionMode::ReadOnly)
         return true;
-    return !statement.inTransaction && isRead(statement);
+    return isSingleRead(statement);
 }
 
 inline bool needsPrimary(const inner::RunStatement &statement)
@@ -42,7 +49,7 @@
 {
     if (statement.begins != inner::TransactionMode::None)
         return statement.verb != inner::SessionVerb::Commit;
-    return !statement.inTransaction && isRead(statement);
+    return isSingleRead(statement);
 }
 
 } // namespace kelptally::session
--- a/tests/admin/framefixture.h
+++ b/tests/admin/framefixture.h
@@ -166,6 +166,7 @@
 
     void connect(const std::string &) override { }
     void drop(const std::string &) override { }
+    void renew(const std::string &) override { }
 
     absl::Status sendTo(const std::string &address, inner::Message message) override
     {
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -45,6 +45,7 @@
         open_ = false;
     }
     bool isOpen() const override { return open_; }
+    void silence() { silent_ = true; }
     void onEnd(std::function<void()> callback) override { onEnd_ = std::move(callback); }
 
     // The server or the way to it has broken the connection.
@@ -78,7 +79,7 @@
     void step(std::size_t index)
     {
         // A dark server or way answers nothing at all.
-        if (!callback_ || !server().running || !group_.isReachable(from_, server_))
+        if (silent_ || !callback_ || !server().running || !group_.isReachable(from_, server_))
             return;
         const ServerCommand &command = batch_[index];
         const bool works =
@@ -211,7 +212,7 @@
         if (!group_.isReachable(from_, server_))
             return;
         after(networkDelay, [self] {
-            if (!self->callback_)
+            if (!self->callback_ || self->silent_)
                 return;
             const auto callback = std::move(self->callback_);
             self->callback_ = nullptr;
@@ -227,6 +228,7 @@
     group::BatchResult result_;
     std::function<void()> onEnd_;
     bool open_ = true;
+    bool silent_ = false;
     bool inTransaction_ = false;
     bool readOnly_ = false;
     bool wrote_ = false;
@@ -288,6 +290,19 @@
         connection->end();
 }
 
+void ModelGroup::silence(const ServerName &id)
+{
+    for (const auto &connection : servers_.at(id).connections)
+        connection->silence();
+}
+
+int ModelGroup::timesCommitted(const std::string &id) const
+{
+    const auto &log = servers_.at(primary()).log;
+    return int(std::count_if(log.begin(), log.end(),
+                             [&](const LogEntry &entry) { return entry.id == id; }));
+}
+
 void ModelGroup::restart(const ServerName &id)
 {
     ModelServer &server = servers_.at(id);
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -63,6 +63,10 @@
     std::vector<group::ListedServer> listed() const;
 
     void crash(const ServerName &id);
+    // Connections that are open now carry nothing any more, and neither end is told.
+    void silence(const ServerName &id);
+    // How often the statement is in the primary's log.
+    int timesCommitted(const std::string &id) const;
     // Comes back with its log.
     void restart(const ServerName &id);
     ServerName primary() const;
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -7,6 +7,7 @@
 constexpr Duration storeDelay = std::chrono::milliseconds(4);
 constexpr Duration storeTimeout = std::chrono::seconds(2);
 constexpr Duration linkDelay = std::chrono::milliseconds(1);
+constexpr Duration redialPause = std::chrono::milliseconds(40);
 
 // Silent, unless a person wants to see what the hosts do: then each has a log of its own.
 EventLog &logOf(std::size_t host)
@@ -152,6 +153,44 @@
     }
     void drop(const std::string &to) override { targets.erase(to); }
 
+    void renew(const std::string &to) override
+    {
+        const auto old = byAddress.find(to);
+        if (renewing.count(to) != 0 || old == byAddress.end() || ends.count(old->second) == 0)
+            return;
+        ModelHost *target = other(to);
+        const bool reachable =
+            target != nullptr && target->links != nullptr && !host.isCut && !target->isCut;
+        if (!reachable)
+            return;
+        renewing.insert(to);
+        // Up and heard at both ends before the silent one goes.
+        open(to, *target, [this, to, silent = old->second](inner::LinkId link) {
+            renewing.erase(to);
+            byAddress[to] = link;
+            end(silent, to);
+        });
+    }
+
+    // One end of a link goes; the other hears of it unless the link is silent.
+    void end(inner::LinkId link, const std::string &to)
+    {
+        if (ends.erase(link) == 0)
+            return;
+        host.timers.subscribeAfter(Duration(0), [this, link, to] {
+            events.onPeerDown(link, to, absl::UnavailableError("closed"));
+            const auto mine = byAddress.find(to);
+            const bool wanted = targets.count(to) != 0 && mine != byAddress.end();
+            if (wanted && mine->second == link)
+                host.timers.subscribeAfter(redialPause, [this, to] { dial(to); });
+        });
+        ModelHost *target = other(to);
+        if (target == nullptr || host.world.silentLinks.count(link) != 0)
+            return;
+        target->timers.subscribeAfter(
+            linkDelay, [target, link, mine = host.address] { target->links->end(link, mine); });
+    }
+
     void dial(const std::string &to)
     {
         ModelHost *target = other(to);
@@ -164,25 +203,40 @@
             });
             return;
         }
+        open(to, *target, [this, to](inner::LinkId link) { byAddress[to] = link; });
+    }
+
+    // The other end has to say hello before the link is up here.
+    void open(const std::string &to, ModelHost &targetHost, std::function<void(inner::LinkId)> onUp)
+    {
+        ModelHost *target = &targetHost;
         const inner::LinkId link = ++lastLink;
         Links *there = target->links;
         ends[link] = to;
         there->ends[link] = host.address;
-        byAddress[to] = link;
-        host.timers.subscribeAfter(linkDelay, [this, link, to, process = there->self] {
-            inner::Hello hello;
-            hello.process = process;
-            hello.zone = "zone-1";
-            if (ends.count(link) != 0)
-                events.onPeerUp(link, hello);
-        });
-        target->timers.subscribeAfter(linkDelay, [there, link, mine = self] {
-            inner::Hello hello;
-            hello.process = mine;
-            hello.zone = "zone-1";
-            if (there->ends.count(link) != 0)
-                there->events.onPeerUp(link, hello);
-        });
+        target->timers.subscribeAfter(linkDelay,
+                                      [this, alive = host.timers.alive, there, link, to,
+                                       mine = self, onUp = std::move(onUp)] {
+                                          if (!*alive || there->ends.count(link) == 0)
+                                              return;
+                                          there->events.onPeerUp(link, helloOf(mine));
+                                          host.timers.subscribeAfter(
+                                              linkDelay,
+                                              [this, link, to, process = there->self, onUp] {
+                                                  if (ends.count(link) == 0)
+                                                      return;
+                                                  onUp(link);
+                                                  events.onPeerUp(link, helloOf(process));
+                                              });
+                                      });
+    }
+
+    static inner::Hello helloOf(const ProcessId &process)
+    {
+        inner::Hello hello;
+        hello.process = process;
+        hello.zone = "zone-1";
+        return hello;
     }
 
     absl::Status sendTo(const std::string &to, inner::Message message) override
@@ -200,10 +254,12 @@
             return absl::UnavailableError("no link");
         ModelHost *target = other(end->second);
         // Lost on the way: the sender notices by silence.
-        if (target == nullptr || host.isCut || target->isCut)
+        const bool silent = host.world.silentLinks.count(link) != 0;
+        if (target == nullptr || host.isCut || target->isCut || silent)
             return absl::OkStatus();
         target->timers.subscribeAfter(linkDelay, [target, link, message = std::move(message)] {
-            if (target->links->ends.count(link) != 0)
+            const bool lost = target->world.silentLinks.count(link) != 0;
+            if (!lost && target->links->ends.count(link) != 0)
                 target->links->events.onPeerMessage(link, message);
         });
         return absl::OkStatus();
@@ -231,6 +287,7 @@
     const ProcessId self;
     inner::PeerEvents &events;
     std::set<std::string> targets;
+    std::set<std::string> renewing;
     std::map<inner::LinkId, std::string> ends;
     std::map<std::string, inner::LinkId> byAddress;
 };
@@ -479,6 +536,22 @@
     hosts[host]->timers.frozenUntil = timers.now() + time;
 }
 
+void World::silenceLinks()
+{
+    for (const auto &host : hosts)
+        for (const auto &[link, to] : host->links->ends)
+            silentLinks.insert(link);
+}
+
+void World::resetLinks()
+{
+    for (const auto &host : hosts) {
+        const auto ends = host->links->ends;
+        for (const auto &[link, to] : ends)
+            host->links->end(link, to);
+    }
+}
+
 void World::cut(std::size_t host, bool isCut)
 {
     hosts[host]->isCut = isCut;
@@ -516,18 +589,57 @@
     hosts[host]->process->drain([] {});
 }
 
-World::OutcomePtr World::write(std::size_t host)
+inner::RunStatement World::statement(const std::string &id)
 {
-    const auto outcome = std::make_shared<Outcome>();
     inner::RunStatement statement;
     statement.group = group.name();
     statement.session = ++lastStatement_;
-    statement.verb = inner::SessionVerb::Write;
-    statement.statementId = "w" + std::to_string(lastStatement_);
-    statement.text = "WRITE item data";
+    statement.statementId = id + std::to_string(lastStatement_);
     statement.timeLeft = std::chrono::milliseconds(800);
     statement.objective = std::chrono::milliseconds(200);
+    return statement;
+}
+
+World::OutcomePtr World::write(std::size_t host)
+{
+    inner::RunStatement write = statement("w");
+    write.verb = inner::SessionVerb::Write;
+    write.text = "WRITE item data";
+    return change(host, std::move(write));
+}
+
+World::OutcomePtr World::begin(std::size_t host, std::uint64_t session)
+{
+    const auto outcome = std::make_shared<Outcome>();
+    inner::RunStatement begin = statement("b");
+    begin.session = session;
+    begin.verb = inner::SessionVerb::Write;
+    begin.text = "WRITE item data";
+    begin.inTransaction = true;
+    begin.begins = inner::TransactionMode::ReadWrite;
+    hosts[host]->process->router().run(std::move(begin), [outcome](auto done) {
+        outcome->done = true;
+        outcome->result = std::move(done);
+    });
+    return outcome;
+}
+
+World::OutcomePtr World::commit(std::size_t host, std::uint64_t session)
+{
+    inner::RunStatement commit = statement("c");
+    commit.session = session;
+    commit.verb = inner::SessionVerb::Commit;
+    commit.text = "COMMIT";
+    commit.inTransaction = true;
+    return change(host, std::move(commit));
+}
+
+// A statement after which something stays.
+World::OutcomePtr World::change(std::size_t host, inner::RunStatement statement)
+{
+    const auto outcome = std::make_shared<Outcome>();
     const std::string id = statement.statementId;
+    sentIds_.push_back(id);
     hosts[host]->process->router().run(std::move(statement), [this, outcome, id](auto done) {
         outcome->done = true;
         outcome->result = std::move(done);
@@ -547,15 +659,10 @@
 World::OutcomePtr World::read(std::size_t host, inner::ReadRule rule, Duration maxAge)
 {
     const auto outcome = std::make_shared<Outcome>();
-    inner::RunStatement statement;
-    statement.group = group.name();
-    statement.session = ++lastStatement_;
-    statement.statementId = "r" + std::to_string(lastStatement_);
+    inner::RunStatement statement = this->statement("r");
     statement.text = "READ item";
     statement.rule = rule;
     statement.maxAge = maxAge;
-    statement.timeLeft = std::chrono::milliseconds(800);
-    statement.objective = std::chrono::milliseconds(200);
     const Instant began = timers.now();
     const std::vector<std::string> required = group.acknowledgedBefore(began - maxAge);
     const std::string id = statement.statementId;
@@ -596,6 +703,9 @@
     for (const std::string &id : refusedIds_)
         if (group.isCommitted(id))
             violations.add("statement " + id + " was refused as not run, and is committed");
+    for (const std::string &id : sentIds_)
+        if (group.timesCommitted(id) > 1)
+            violations.add("statement " + id + " is committed twice");
 }
 
 } // namespace kelptally::model
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -52,6 +52,10 @@
     void kill(std::size_t host);
     void restart(std::size_t host);
     void freeze(std::size_t host, Duration time);
+    // Links between hosts that are open now carry nothing any more, and neither end is told.
+    void silenceLinks();
+    // All links between hosts end; their processes live.
+    void resetLinks();
     // The host reaches nothing and nothing reaches it.
     void cut(std::size_t host, bool cut);
     bool isUp(std::size_t host) const;
@@ -71,6 +75,9 @@
     // Statements at one host. Reads are checked when they are answered.
     OutcomePtr write(std::size_t host);
     OutcomePtr read(std::size_t host, inner::ReadRule rule, Duration maxAge = {});
+    // A transaction of one write, by its two statements.
+    OutcomePtr begin(std::size_t host, std::uint64_t session);
+    OutcomePtr commit(std::size_t host, std::uint64_t session);
     // Writes at a host again and again until one is acknowledged; how long that took.
     std::optional<Duration> timeToWrite(std::size_t host, Duration limit);
 
@@ -82,10 +89,16 @@
     int unknown = 0;
     int reads = 0;
 
+    std::set<inner::LinkId> silentLinks;
+
 private:
+    inner::RunStatement statement(const std::string &id);
+    OutcomePtr change(std::size_t host, inner::RunStatement statement);
+
     std::uint64_t lastStatement_ = 0;
     std::uint64_t lastRun_ = 1;
     std::vector<std::string> refusedIds_;
+    std::vector<std::string> sentIds_;
     // Earlier runs of hosts: callbacks of theirs may still be on their way through the model.
     std::vector<std::unique_ptr<ModelHost>> dead_;
 };
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -20,6 +20,25 @@
     return host == 0 ? 1 : 0;
 }
 
+// Writes and reads at every host for a while; all succeed.
+void checkServed(World &world, int rounds)
+{
+    std::vector<World::OutcomePtr> all;
+    for (int i = 0; i < rounds; ++i) {
+        for (std::size_t host = 0; host < 3; ++host) {
+            all.push_back(world.write(host));
+            all.push_back(world.read(host, inner::ReadRule::Newest));
+            all.push_back(world.read(host, inner::ReadRule::Bounded, 500ms));
+        }
+        world.run(25ms);
+    }
+    world.run(1s);
+    for (const auto &outcome : all) {
+        CHECK(outcome->done);
+        CHECK(outcome->result.reason == Reason::None);
+    }
+}
+
 void checkRight(World &world)
 {
     world.checkRefused();
@@ -391,3 +410,61 @@
     CHECK(*gap < 3s);
     checkRight(world);
 }
+
+TEST_CASE("Links between hosts that go silent cost no statement and change no owner")
+{
+    World world(20);
+    settle(world);
+    checkServed(world, 4);
+    const int owner = world.owner();
+    world.silenceLinks();
+    checkServed(world, 20);
+    CHECK(world.owner() == owner);
+    checkRight(world);
+}
+
+TEST_CASE("Links between hosts that are reset cost no statement and change no owner")
+{
+    World world(21);
+    settle(world);
+    checkServed(world, 4);
+    const int owner = world.owner();
+    for (int i = 0; i < 5; ++i) {
+        const auto write = world.write(otherThan(owner));
+        world.run(3ms);
+        world.resetLinks();
+        CHECK(world.runUntil(400ms, [&] { return write->done; }));
+        CHECK(write->result.reason == Reason::None);
+    }
+    checkServed(world, 4);
+    CHECK(world.owner() == owner);
+    checkRight(world);
+}
+
+TEST_CASE("A transaction goes on over a link that is lost, and is rolled back with its entry")
+{
+    World world(22);
+    settle(world);
+    const std::size_t entry = otherThan(world.owner());
+    for (const bool silent : {true, false}) {
+        const std::uint64_t session = silent ? 9001 : 9002;
+        const auto begun = world.begin(entry, session);
+        REQUIRE(world.runUntil(200ms, [&] { return begun->done; }));
+        REQUIRE(begun->result.reason == Reason::None);
+        if (silent)
+            world.silenceLinks();
+        else
+            world.resetLinks();
+        const auto committed = world.commit(entry, session);
+        CHECK(world.runUntil(700ms, [&] { return committed->done; }));
+        CHECK(committed->result.reason == Reason::None);
+        world.run(1s);
+    }
+    const int commits = world.group.commits;
+    const auto begun = world.begin(entry, 9003);
+    REQUIRE(world.runUntil(200ms, [&] { return begun->done; }));
+    world.kill(entry);
+    world.run(2s);
+    CHECK(world.group.commits == commits);
+    checkRight(world);
+}
--- a/tests/inner/peerlinks_test.cpp
+++ b/tests/inner/peerlinks_test.cpp
@@ -104,6 +104,8 @@
     }
 
     void lose(bool losing) { losing_ = losing; }
+    // Connections that are open now lose everything; new ones work.
+    void loseOpen() { ++generation_; }
 
 private:
     struct Pipe
@@ -111,6 +113,7 @@
         explicit Pipe(boost::asio::io_context &context) : from(context), to(context) { }
         tcp::socket from;
         tcp::socket to;
+        int generation = 0;
         std::array<char, 4096> forth;
         std::array<char, 4096> back;
     };
@@ -123,6 +126,7 @@
             boost::system::error_code unreachable;
             if (!error)
                 pipe->to.connect(target_, unreachable);
+            pipe->generation = generation_;
             if (!error && !unreachable) {
                 pump(pipe, pipe->from, pipe->to, pipe->forth);
                 pump(pipe, pipe->to, pipe->from, pipe->back);
@@ -137,13 +141,14 @@
             boost::asio::buffer(room),
             [&, this, pipe](const boost::system::error_code &error, std::size_t count) {
                 boost::system::error_code ignored;
+                const bool losing = losing_ || pipe->generation != generation_;
                 if (error) {
                     // While bytes are lost, so is the end of the connection.
-                    if (!losing_)
+                    if (!losing)
                         to.shutdown(tcp::socket::shutdown_both, ignored);
                     return;
                 }
-                if (!losing_)
+                if (!losing)
                     boost::asio::write(to, boost::asio::buffer(room, count), ignored);
                 pump(pipe, from, to, room);
             });
@@ -153,6 +158,7 @@
     boost::asio::io_context context_;
     tcp::acceptor acceptor_;
     std::atomic<bool> losing_ {false};
+    std::atomic<int> generation_ {0};
     std::thread thread_;
 };
 
@@ -255,6 +261,47 @@
     CHECK(a.events.waitForUps(2));
 }
 
+TEST_CASE("A silent link is replaced by one that is dialled beside it, without a moment of none")
+{
+    Process a(linkOptions(freeAddress()));
+    const std::string relayed = freeAddress();
+    PeerLinkOptions options = linkOptions(freeAddress());
+    options.self.address = relayed;
+    Process b(options);
+    Relay relay(relayed, options.listenAddress);
+    a.links->connect(relayed);
+    REQUIRE(a.events.waitForUps(1));
+    REQUIRE(b.events.waitForUps(1));
+    relay.loseOpen();
+    REQUIRE(a.links->sendTo(relayed, ConfigNotice {1}).ok());
+    // Twice makes no second one.
+    a.links->renew(relayed);
+    a.links->renew(relayed);
+    REQUIRE(a.events.waitForUps(2));
+    CHECK(a.links->sendTo(relayed, ConfigNotice {2}).ok());
+    REQUIRE(b.events.waitForMessages(1));
+    CHECK(std::get<ConfigNotice>(b.events.messages[0].message).version == 2);
+    REQUIRE(a.events.waitForDowns(1));
+    CHECK(a.events.downs[0].link == a.events.ups[0].link);
+    CHECK(a.links->sendTo(relayed, ConfigNotice {3}).ok());
+    CHECK(b.events.waitForMessages(2));
+    CHECK(a.events.ups.size() == 2);
+}
+
+TEST_CASE("A renewal that nobody answers changes nothing")
+{
+    Process a(linkOptions(freeAddress()));
+    {
+        Process b(linkOptions(freeAddress()));
+        a.links->renew(b.options.self.address);
+        a.links->connect(b.options.self.address);
+        REQUIRE(a.events.waitForUps(1));
+    }
+    REQUIRE(a.events.waitForDowns(1));
+    a.links->renew(a.events.downs[0].address);
+    CHECK(a.events.ups.size() == 1);
+}
+
 TEST_CASE("A link that two parts want stays until both have dropped it")
 {
     Process a(linkOptions(freeAddress()));
