Count a server's leaving from when it may have said so; operators' calls and histograms on each host

Ruled out: clocks (none is used), the margin of 500 ms (kept). Change: the follower of a table tells with each row the earliest time at which it may have changed, by the service's own clock: just now when the question was held back, else any time since the last answer; unknown at the first reading, and then a leaving server gets nothing at all.

--- a/src/admin/statusgather.h
+++ b/src/admin/statusgather.h
@@ -2,6 +2,7 @@
 
 #include "admin/adminpeers.h"
 #include "admin/frameprogram.h"
+#include "admin/statusjson.h"
 #include "settings/inventory.h"
 
 #include <functional>
@@ -11,29 +12,6 @@
 
 namespace kelptally::admin {
 
-// One of our processes, as it answered or did not.
-struct ProcessStatus
-{
-    HostName host;
-    std::string address;
-    // "entry" or "owner".
-    std::string role;
-    bool reachable = false;
-    bool draining = false;
-    ConfigVersion version = 0;
-    // Why it could not be asked.
-    std::string problem;
-};
-
-struct SystemStatus
-{
-    std::vector<ProcessStatus> processes;
-    // As their owners tell; of two owners the one with the higher epoch counts.
-    std::vector<inner::GroupStatus> groups;
-    // Groups of the configuration that no process says it owns.
-    std::vector<GroupName> unowned;
-};
-
 using StatusCallback = std::function<void(SystemStatus)>;
 using OperatorAnswers = std::vector<absl::StatusOr<inner::OperatorAnswer>>;
 
--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -51,9 +51,10 @@
         return held;
     held.runner = std::make_unique<GroupRunner>(
         GroupRunner::Parts {parts_.timers, parts_.connector, ownership_, parts_.promotions,
-                            parts_.log, parts_.metrics, parts_.probe, parts_.zone,
-                            parts_.serverLeaveTime, parts_.onSilence},
+                            parts_.log, parts_.metrics, parts_.times, parts_.probe, parts_.zone,
+                            parts_.onSilence},
         group);
+    held.runner->setServerLeaveTime(serverLeaveTime_);
     const auto options = options_.find(group);
     if (options != options_.end())
         held.runner->setOptions(options->second);
@@ -61,6 +62,13 @@
     return held;
 }
 
+void GroupHost::setServerLeaveTime(Duration time)
+{
+    serverLeaveTime_ = time;
+    for (const auto &[group, held] : groups_)
+        held.runner->setServerLeaveTime(time);
+}
+
 GroupRunner *GroupHost::find(const GroupName &group) const
 {
     const auto found = groups_.find(group);
@@ -327,6 +335,28 @@
     return true;
 }
 
+std::vector<inner::GroupStatus> GroupHost::status() const
+{
+    std::vector<inner::GroupStatus> all;
+    for (const auto &[group, options] : options_) {
+        const GroupRunner *runner = ownership_.owns(group) ? find(group) : nullptr;
+        if (runner != nullptr) {
+            all.push_back(runner->status());
+            continue;
+        }
+        inner::GroupStatus status;
+        status.group = group;
+        if (const OwnershipRecord *record = ownership_.record(group)) {
+            status.epoch = record->epoch;
+            status.owner = record->owner;
+            status.term = record->term;
+            status.primary = record->primary;
+        }
+        all.push_back(std::move(status));
+    }
+    return all;
+}
+
 std::size_t GroupHost::queued() const
 {
     std::size_t count = 0;
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -24,10 +24,10 @@
         PromotionService &promotions;
         EventLog &log;
         Metrics &metrics;
+        session::StageTimes &times;
         PrimaryKeeper::Prober probe;
         ProcessId self;
         ZoneName zone;
-        Duration serverLeaveTime;
         // Asks other processes who owns the group.
         std::function<void(const GroupName &)> askPeers;
         // Another owner is known; the router places what waits.
@@ -39,6 +39,8 @@
     explicit GroupHost(const Parts &parts);
 
     void start() { ownership_.start(); }
+    // A server that has been leaving for this long gets nothing more.
+    void setServerLeaveTime(Duration time);
     OwnershipTable &ownership() { return ownership_; }
 
     void setServers(const GroupName &group, const std::vector<ListedServer> &servers);
@@ -66,6 +68,8 @@
     bool isQuiet() const;
 
     std::size_t queued() const;
+    // Groups as far as they are known here; with their servers where they are owned here.
+    std::vector<inner::GroupStatus> status() const;
     // Closes idle connections to servers that have not answered since.
     void dropIdle(Instant since);
 
@@ -109,6 +113,7 @@
     OwnershipTable ownership_;
     std::map<GroupName, std::vector<ListedServer>> servers_;
     std::map<GroupName, session::GroupOptions> options_;
+    Duration serverLeaveTime_ {std::chrono::seconds(7)};
     std::map<GroupName, Held> groups_;
     // Peers by link.
     std::map<inner::LinkId, inner::Hello> peers_;
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -73,6 +73,7 @@
             parts_.timers,
             parts_.connector,
             parts_.log,
+            parts_.times,
             [this] { pumpSoon(); },
             [this](const ServerName &id, ConnectOutcome outcome) { onTrouble(id, outcome); },
             parts_.onSilence};
@@ -164,6 +165,35 @@
     transactions_.clear();
 }
 
+inner::GroupStatus GroupRunner::status() const
+{
+    inner::GroupStatus status;
+    status.group = group_;
+    status.primary = keeper_.primary();
+    status.leaseLeft = std::max(Duration(0), parts_.ownership.leaseLeft(group_));
+    if (const OwnershipRecord *record = parts_.ownership.record(group_)) {
+        status.epoch = record->epoch;
+        status.owner = record->owner;
+        status.term = record->term;
+    }
+    for (const auto &[id, server] : servers_) {
+        inner::ServerStatus each;
+        each.server = id;
+        each.zone = server->listed().zone;
+        each.reachable = !server->isUnreachable();
+        each.primary = id == keeper_.primary();
+        each.draining = server->listed().leaving;
+        each.position = server->shown.value_or(Position());
+        each.lag = server->lag;
+        each.connectionsOpen = server->connections();
+        each.slotsBusy = server->inFlight();
+        // The queue is the group's; what needs the primary is most of it.
+        each.queued = each.primary ? static_cast<int>(queue_.size()) : 0;
+        status.servers.push_back(std::move(each));
+    }
+    return status;
+}
+
 ZoneName GroupRunner::primaryZone() const
 {
     const auto found = servers_.find(keeper_.primary());
@@ -372,6 +402,8 @@
     server.sent();
     server.beginWork(*connection, session::mayRepeat(job->statement));
     running_.push_back(job);
+    if (job->attempts == 1)
+        parts_.times.addQueue(job->sentAt - job->arrived);
     if (!watching_) {
         watching_ = true;
         parts_.timers.subscribeAfter(silencePeriod, [this, alive = alive_] {
@@ -462,6 +494,7 @@
     GroupServer *server = find(job->server);
     if (server != nullptr && !result.results.empty()) {
         server->heard();
+        parts_.times.addServer(parts_.timers.now() - job->sentAt);
         learn(*server, result.results.back(), job->sentAt);
     }
     // Its caller has had its answer: at the deadline, or by leaving.
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -28,10 +28,9 @@
         PromotionService &promotions;
         EventLog &log;
         Metrics &metrics;
+        session::StageTimes &times;
         PrimaryKeeper::Prober probe;
         ZoneName zone;
-        // A server that has been leaving for this long gets nothing more.
-        Duration serverLeaveTime {std::chrono::seconds(7)};
         // See GroupServer::Parts.
         std::function<void(Instant since)> onSilence;
     };
@@ -41,6 +40,8 @@
 
     void setServers(const std::vector<ListedServer> &servers);
     void setOptions(const session::GroupOptions &options);
+    // A server that has been leaving for this long gets nothing more.
+    void setServerLeaveTime(Duration time) { serverLeaveTime_ = time; }
 
     void onAcquired();
     void onLost();
@@ -62,6 +63,9 @@
     void onPrimaryLost(const ServerName &server) override;
     void onWritesHeld(bool held) override;
 
+    // As operators see it.
+    inner::GroupStatus status() const;
+
     // Connections that every server of the group takes from all processes together.
     int maxConnections() const { return options_.maxConnections; }
     std::size_t queued() const { return queue_.size(); }
@@ -150,6 +154,7 @@
     const Parts parts_;
     const GroupName group_;
     session::GroupOptions options_;
+    Duration serverLeaveTime_ {std::chrono::seconds(7)};
     GroupServers servers_;
     PrimaryKeeper keeper_;
     decision::PositionLog positions_;
--- a/src/group/grouprunnerchoice.cpp
+++ b/src/group/grouprunnerchoice.cpp
@@ -45,7 +45,7 @@
 bool GroupRunner::hasLeft(const GroupServer &server, Instant now) const
 {
     const ListedServer &listed = server.listed();
-    return listed.leaving && now - listed.leavingSince >= parts_.serverLeaveTime - leaveMargin;
+    return listed.leaving && now - listed.leavingSince >= serverLeaveTime_ - leaveMargin;
 }
 
 // Any server whose log surely or probably holds the position; replicas go before the primary, which
--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -142,14 +142,17 @@
 {
     sent();
     ++opening_;
-    parts_.connector.connect(
-        address(), connectTimeout,
-        [this, alive = alive_](ConnectOutcome outcome, const ServerConnectionPtr &connection) {
-            if (*alive)
-                onConnected(outcome, connection);
-            else if (connection)
-                connection->close();
-        });
+    const Instant began = parts_.timers.now();
+    parts_.connector.connect(address(), connectTimeout,
+                             [this, alive = alive_, began](ConnectOutcome outcome,
+                                                           const ServerConnectionPtr &connection) {
+                                 if (*alive)
+                                     parts_.times.addConnection(parts_.timers.now() - began);
+                                 if (*alive)
+                                     onConnected(outcome, connection);
+                                 else if (connection)
+                                     connection->close();
+                             });
 }
 
 void GroupServer::onConnected(ConnectOutcome outcome, const ServerConnectionPtr &connection)
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -3,6 +3,7 @@
 #include "core/eventlog.h"
 #include "core/timerservice.h"
 #include "group/serverport.h"
+#include "session/stagetimes.h"
 
 #include <map>
 #include <string>
@@ -40,6 +41,7 @@
         TimerService &timers;
         ServerConnector &connector;
         EventLog &log;
+        session::StageTimes &times;
         // A connection or a slot has become free, or the server was heard again.
         std::function<void()> onFree;
         // All connections ended or none can be opened.
--- a/src/group/nearreads.cpp
+++ b/src/group/nearreads.cpp
@@ -35,8 +35,9 @@
             mine = std::move(before->second);
         else
             mine = std::make_unique<GroupServer>(
-                GroupServer::Parts {parts_.timers, parts_.connector, parts_.log, [] {},
-                                    [](const ServerName &, ConnectOutcome) {}, parts_.onSilence},
+                GroupServer::Parts {parts_.timers, parts_.connector, parts_.log, parts_.times,
+                                    [] {}, [](const ServerName &, ConnectOutcome) {},
+                                    parts_.onSilence},
                 server);
         mine->update(server);
         mine->limitConnections(known.lent);
@@ -157,6 +158,7 @@
     const ServerError error = answer != nullptr ? answer->error : ServerError::Other;
     // 1. What the answer tells of the replica.
     if (server != nullptr) {
+        parts_.times.addServer(now - read->connection->workSince);
         server->endWork(*read->connection);
         if (whole)
             server->heard();
--- a/src/group/nearreads.h
+++ b/src/group/nearreads.h
@@ -22,6 +22,7 @@
         ServerConnector &connector;
         EventLog &log;
         Metrics &metrics;
+        session::StageTimes &times;
         ZoneName zone;
         // See GroupServer::Parts.
         std::function<void(Instant since)> onSilence;
--- a/src/group/serverlist.cpp
+++ b/src/group/serverlist.cpp
@@ -1,5 +1,7 @@
 #include "group/serverlist.h"
 
+#include <algorithm>
+
 namespace kelptally::group {
 
 namespace {
@@ -24,10 +26,11 @@
         || entry.server.primary != server.primary || entry.server.slots != server.slots
         || entry.server.group != server.group;
     const GroupName before = entry.server.group;
-    const Instant leavingSince = entry.server.leaving ? entry.server.leavingSince : timers_.now();
+    const bool wasLeaving = entry.appearance != 0 && entry.server.leaving;
+    const Instant leavingSince = wasLeaving ? entry.server.leavingSince : server.leavingSince;
     entry.server = server;
     if (server.leaving)
-        entry.server.leavingSince = leavingSince;
+        entry.server.leavingSince = std::min(leavingSince, timers_.now());
     entry.missing = false;
     ++entry.appearance;
     if (!changed)
--- a/src/group/serverport.h
+++ b/src/group/serverport.h
@@ -160,7 +160,7 @@
     ZoneName zone;
     int slots = 1;
     bool leaving = false;
-    // When this process learnt that it leaves.
+    // The earliest time at which it may have said so; the beginning of time when that is not known.
     Instant leavingSince {};
     // As the server saw itself when it reported last.
     bool primary = false;
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -21,6 +21,7 @@
 
 HostProcess::HostProcess(const settings::HostSettings &settings, const Ports &ports)
     : settings_(settings), ports_(ports), self_ {settings.peerAddress(), ports.incarnation},
+      times_(ports.metrics),
       serverList_(ports.timers, ports.log,
                   [this](const GroupName &group, const std::vector<group::ListedServer> &servers) {
                       for (const group::ListedServer &server : servers)
@@ -30,7 +31,7 @@
                       near_.setServers(group, servers);
                       wantGroups();
                   }),
-      near_({ports.timers, ports.connector, ports.log, ports.metrics, settings.zone,
+      near_({ports.timers, ports.connector, ports.log, ports.metrics, times_, settings.zone,
              [this](Instant since) { onSilence(since); }})
 { }
 
@@ -47,15 +48,17 @@
     TimerService &timers = ports_.timers;
     groups_ = std::make_unique<group::GroupHost>(group::GroupHost::Parts {
         timers, *links_, ports_.table, ports_.feed, ports_.connector, ports_.promotions, ports_.log,
-        ports_.metrics, ports_.probe, self_, settings_.zone, settings_.serverLeaveTime,
+        ports_.metrics, times_, ports_.probe, self_, settings_.zone,
         [this](const GroupName &group) {
             for (const auto &[link, address] : linkAddresses_)
                 static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
         },
         [this](const GroupName &group) { router_->onOwnerChanged(group); },
         [this](Instant since) { onSilence(since); }});
-    router_ = std::make_unique<session::Router>(session::Router::Parts {
-        timers, *links_, groups_->ownership(), *groups_, near_, ports_.log, ports_.metrics, self_});
+    router_ = std::make_unique<session::Router>(
+        session::Router::Parts {timers, *links_, groups_->ownership(), *groups_, near_, ports_.log,
+                                ports_.metrics, times_, self_});
+    groups_->setServerLeaveTime(settings_.serverLeaveTime);
     groups_->start();
     return absl::OkStatus();
 }
@@ -109,6 +112,13 @@
     return std::string();
 }
 
+void HostProcess::reload(const settings::HostSettings &settings)
+{
+    settings_.grace = settings.grace;
+    settings_.serverLeaveTime = settings.serverLeaveTime;
+    groups_->setServerLeaveTime(settings.serverLeaveTime);
+}
+
 // Stopping
 
 void HostProcess::drain(std::function<void()> whenDone)
@@ -175,6 +185,38 @@
         .Set(double(ports_.log.dropped()));
     metrics.gauge("kelptally_log_lines_left_out", "Log lines left out by the limit of their event")
         .Set(double(ports_.log.leftOut()));
+    for (prometheus::Gauge *gauge : groupGauges_)
+        gauge->Set(0);
+    groupGauges_.clear();
+    for (const inner::GroupStatus &group : groups_->status())
+        if (group.owner == self_)
+            collectGroup(group);
+}
+
+void HostProcess::setGroupGauge(prometheus::Gauge &gauge, double value)
+{
+    gauge.Set(value);
+    groupGauges_.push_back(&gauge);
+}
+
+void HostProcess::collectGroup(const inner::GroupStatus &group)
+{
+    Metrics &metrics = ports_.metrics;
+    setGroupGauge(metrics.gauge("kelptally_owner_lease_left_seconds", "Time left of the lease",
+                                {{"group", group.group}}),
+                  toMilliseconds(group.leaseLeft) / 1000);
+    for (const inner::ServerStatus &server : group.servers) {
+        const MetricLabels labels = {{"group", group.group}, {"server", server.server}};
+        setGroupGauge(
+            metrics.gauge("kelptally_owner_slots_busy", "Slots of a server in use", labels),
+            server.slotsBusy);
+        setGroupGauge(
+            metrics.gauge("kelptally_owner_connections", "Open connections to a server", labels),
+            server.connectionsOpen);
+        setGroupGauge(metrics.gauge("kelptally_owner_replica_age_seconds",
+                                    "How far a replica is behind", labels),
+                      toMilliseconds(server.lag) / 1000);
+    }
 }
 
 // Peers
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -73,9 +73,18 @@
     // Empty when the balancer should send callers here, else why not.
     std::string notReady() const;
 
+    // Takes over the grace of a stop and the time that leaving servers have.
+    void reload(const settings::HostSettings &settings);
+
     // Graceful stop: calls back when nothing is left, or the grace is nearly over.
     void drain(std::function<void()> whenDone);
 
+    const HostName &host() const { return settings_.host; }
+    const ProcessId &self() const { return self_; }
+    // Null before the first one.
+    const session::Catalogue *catalogue() const { return catalogue_.get(); }
+    bool isDraining() const { return draining_; }
+
     // Brings gauges up to date before the metrics are read.
     void collect();
 
@@ -103,10 +112,13 @@
     void wantGroups();
     void noteReadiness();
     void drainStep();
+    void collectGroup(const inner::GroupStatus &group);
+    void setGroupGauge(prometheus::Gauge &gauge, double value);
 
-    const settings::HostSettings settings_;
+    settings::HostSettings settings_;
     const Ports ports_;
     const ProcessId self_;
+    session::StageTimes times_;
     std::unique_ptr<inner::PeerLinks> links_;
     session::CurrentCatalogue catalogue_;
     group::ServerList serverList_;
@@ -123,6 +135,8 @@
     bool lastReady_ = false;
     Instant drainBegan_ {};
     std::function<void()> whenDrained_;
+    // Gauges of groups and servers that were set last; they go down with their group.
+    std::vector<prometheus::Gauge *> groupGauges_;
 };
 
 } // namespace kelptally::host
--- a/src/services/tablefollower.cpp
+++ b/src/services/tablefollower.cpp
@@ -1,5 +1,6 @@
 #include "services/tablefollower.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace kelptally::services {
@@ -8,6 +9,9 @@
 
 // Pause after a call that failed: a service that refuses is not asked all the time.
 constexpr Duration failedPause = std::chrono::milliseconds(250);
+// A question that the service answers later than this after its arrival was held back until
+// something changed; the store answers at once in 4 ms, and in 240 when it is slow.
+constexpr Duration heldAtLeast = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -28,6 +32,7 @@
 
 void TableFollower::readAll()
 {
+    asked_ = parts_.timers.now();
     parts_.feed.snapshot(table_, [this, alive = alive_](absl::StatusOr<TableSnapshot> snapshot) {
         if (!*alive)
             return;
@@ -44,9 +49,10 @@
 void TableFollower::onSnapshot(const TableSnapshot &snapshot)
 {
     std::map<std::string, std::string> before = versions_;
+    const std::optional<Instant> changedAfter = noteTime(snapshot.serviceTime);
     for (const TableRow &row : snapshot.rows) {
         before.erase(row.key);
-        apply(row);
+        apply(row, changedAfter);
     }
     for (const auto &[key, version] : before)
         remove(key);
@@ -58,6 +64,7 @@
 
 void TableFollower::follow()
 {
+    asked_ = parts_.timers.now();
     parts_.feed.changes(table_, next_, feedWait_,
                         [this, alive = alive_](absl::StatusOr<TableChanges> changes) {
                             if (*alive)
@@ -69,11 +76,12 @@
 {
     if (changes.ok()) {
         note(changes.status());
+        const std::optional<Instant> changedAfter = noteTime(changes->serviceTime);
         for (const RowChange &change : changes->changes) {
             if (change.removed)
                 remove(change.row.key);
             else
-                apply(change.row);
+                apply(change.row, changedAfter);
         }
         next_ = changes->next;
         return follow();
@@ -90,8 +98,29 @@
 }
 
 // Snapshots and changes overtake each other: a version below the known one is old news.
-void TableFollower::apply(const TableRow &row)
+// News may have been long under way: an answer may be held up, or come after several that were
+// lost. Gives the earliest time at which what it tells may have happened.
+std::optional<Instant> TableFollower::noteTime(std::optional<Duration> serviceTime)
 {
+    if (!serviceTime)
+        return std::nullopt;
+    const Duration now = parts_.timers.now().time_since_epoch();
+    const std::optional<Duration> before = answeredAt_;
+    // The service's clock went back: it is another one.
+    const bool known = before && *before <= *serviceTime;
+    clockOffset_ = known ? std::min(clockOffset_, now - *serviceTime) : now - *serviceTime;
+    answeredAt_ = serviceTime;
+    if (!known)
+        return std::nullopt;
+    const Duration arrived = asked_.time_since_epoch() - clockOffset_;
+    const bool held = *serviceTime - arrived > heldAtLeast;
+    return Instant((held ? *serviceTime : *before) + clockOffset_);
+}
+
+void TableFollower::apply(const TableRow &news, std::optional<Instant> changedAfter)
+{
+    TableRow row = news;
+    row.changedAfter = changedAfter;
     std::string &known = versions_[row.key];
     const bool older =
         known.size() > row.etag.size() || (known.size() == row.etag.size() && known >= row.etag);
--- a/src/services/tablefollower.h
+++ b/src/services/tablefollower.h
@@ -46,9 +46,10 @@
     void onSnapshot(const TableSnapshot &snapshot);
     void follow();
     void onChanges(const absl::StatusOr<TableChanges> &changes);
-    void apply(const TableRow &row);
+    void apply(const TableRow &news, std::optional<Instant> changedAfter);
     void remove(const std::string &key);
     void note(const absl::Status &status);
+    std::optional<Instant> noteTime(std::optional<Duration> serviceTime);
 
     const Parts parts_;
     const std::string table_;
@@ -57,6 +58,11 @@
     // Version of each row as last seen.
     std::map<std::string, std::string> versions_;
     std::uint64_t next_ = 0;
+    // When the open question was asked, and the service's clock at its last answer.
+    Instant asked_ {};
+    std::optional<Duration> answeredAt_;
+    // This host's clock less the service's, at the fastest answer so far.
+    Duration clockOffset_ {0};
     bool read_ = false;
     bool reachable_ = true;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/services/tableservice.h
+++ b/src/services/tableservice.h
@@ -21,6 +21,9 @@
     std::string etag;
     // The service's own steady clock when it answered, where it tells it.
     std::optional<Duration> serviceTime = std::nullopt;
+    // In news of a followed table: the earliest time, by this host's clock, at which the row may
+    // have changed. Nothing when it may have been at any time.
+    std::optional<Instant> changedAfter = std::nullopt;
 };
 
 // One conditional write. Without an expected tag the row must not exist yet.
@@ -66,6 +69,8 @@
     std::vector<RowChange> changes;
     // Where the next call goes on.
     std::uint64_t next = 0;
+    // As in TableRow.
+    std::optional<Duration> serviceTime = std::nullopt;
 };
 
 // All rows of one table as of one moment, and where its changes go on from there.
@@ -73,6 +78,8 @@
 {
     std::vector<TableRow> rows;
     std::uint64_t next = 0;
+    // As in TableRow.
+    std::optional<Duration> serviceTime = std::nullopt;
 };
 
 using ChangesCallback = std::function<void(absl::StatusOr<TableChanges>)>;
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -46,7 +46,8 @@
     pending.statement = std::move(statement);
     pending.statement.requestId = id;
     pending.callback = std::move(callback);
-    pending.deadline = parts_.timers.now() + pending.statement.timeLeft;
+    pending.arrived = parts_.timers.now();
+    pending.deadline = pending.arrived + pending.statement.timeLeft;
     pending_.emplace(id, std::move(pending));
     if (!ticking_) {
         ticking_ = true;
@@ -227,8 +228,10 @@
     if (found == pending_.end())
         return;
     Pending &pending = found->second;
-    if (!pending.address.empty())
+    if (!pending.address.empty()) {
+        parts_.times.addOwner(parts_.timers.now() - pending.sentAt);
         parts_.near.learn(pending.statement, pending.sentAt, done);
+    }
     if (done.reason == Reason::NotOwner && done.executed == Executed::No) {
         leavePeer(pending);
         if (continuesTransaction(pending.statement))
@@ -254,6 +257,7 @@
     Pending pending = std::move(found->second);
     pending_.erase(found);
     leavePeer(pending);
+    parts_.times.addStatement(pending.statement.rule, parts_.timers.now() - pending.arrived);
     const bool ends =
         pending.statement.verb == inner::SessionVerb::Commit || done.reason != Reason::None;
     if (pending.statement.inTransaction && ends)
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -5,6 +5,7 @@
 #include "core/timerservice.h"
 #include "inner/peerlink.h"
 #include "session/callersession.h"
+#include "session/stagetimes.h"
 
 #include <deque>
 #include <optional>
@@ -80,6 +81,7 @@
         NearExecutor &near;
         EventLog &log;
         Metrics &metrics;
+        StageTimes &times;
         ProcessId self;
     };
 
@@ -107,6 +109,7 @@
     {
         inner::RunStatement statement;
         DoneCallback callback;
+        Instant arrived;
         Instant deadline;
         Instant sentAt;
         // Where it was sent, under the number in the statement; empty while it waits.
--- /dev/null
+++ b/src/session/stagetimes.cpp
@@ -0,0 +1,65 @@
+#include "session/stagetimes.h"
+
+#include <prometheus/histogram.h>
+
+#include <vector>
+
+namespace kelptally::session {
+
+namespace {
+
+// In seconds: the stages of a calm day take from 0.1 to 200 ms, a route's longest wait is seconds.
+const std::vector<double> bounds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
+                                    0.1,   0.15,   0.25,  0.5,  1,     2.5};
+
+prometheus::Histogram &stage(Metrics &metrics, const std::string &name)
+{
+    return metrics.histogram("kelptally_stage_seconds", "Time of a statement in one stage", bounds,
+                             {{"stage", name}});
+}
+
+prometheus::Histogram &rule(Metrics &metrics, const std::string &name)
+{
+    return metrics.histogram("kelptally_statement_seconds",
+                             "From a statement's arrival to its answer", bounds, {{"rule", name}});
+}
+
+double seconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+StageTimes::StageTimes(Metrics &metrics)
+    : rules_ {&rule(metrics, "newest"), &rule(metrics, "bounded"), &rule(metrics, "own_writes")},
+      queue_(stage(metrics, "queue")), connection_(stage(metrics, "connection")),
+      server_(stage(metrics, "server")), owner_(stage(metrics, "owner"))
+{ }
+
+void StageTimes::addStatement(inner::ReadRule rule, Duration time)
+{
+    rules_[static_cast<int>(rule)]->Observe(seconds(time));
+}
+
+void StageTimes::addQueue(Duration time)
+{
+    queue_.Observe(seconds(time));
+}
+
+void StageTimes::addConnection(Duration time)
+{
+    connection_.Observe(seconds(time));
+}
+
+void StageTimes::addServer(Duration time)
+{
+    server_.Observe(seconds(time));
+}
+
+void StageTimes::addOwner(Duration time)
+{
+    owner_.Observe(seconds(time));
+}
+
+} // namespace kelptally::session
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -45,6 +45,11 @@
     settings.peerKey = reader.text("peer-key");
     if (!settings.peerKey.empty() && settings.peerKey.size() < leastKeyLength)
         reader.add("peer-key", "shorter than 16 characters; allowed is a long random text");
+    const auto hashes = reader.hashes("operator-key-hash");
+    if (hashes.size() > 1)
+        reader.add("operator-key-hash", "more than one SHA-256 sum; allowed is one");
+    if (hashes.size() == 1)
+        settings.operatorKeyHash = hashes.front();
 }
 
 void readLimits(SectionReader &reader, HostSettings &settings)
@@ -70,6 +75,29 @@
 
 } // namespace
 
+std::string changedForRestart(const HostSettings &running, const HostSettings &wanted)
+{
+    std::string keys;
+    const auto compare = [&keys](const char *key, const auto &before, const auto &after) {
+        if (before != after)
+            keys += (keys.empty() ? "" : ", ") + std::string(key);
+    };
+    compare("host", running.host, wanted.host);
+    compare("zone", running.zone, wanted.zone);
+    compare("address", running.address, wanted.address);
+    compare("peer-port", running.peerPort, wanted.peerPort);
+    compare("callers", running.callers.toText(), wanted.callers.toText());
+    compare("readiness", running.readiness.toText(), wanted.readiness.toText());
+    compare("admin-port", running.adminPort, wanted.adminPort);
+    compare("max-sessions", running.maxSessions, wanted.maxSessions);
+    compare("store", running.store, wanted.store);
+    compare("promotions", running.promotions, wanted.promotions);
+    compare("store-timeout", running.storeTimeout, wanted.storeTimeout);
+    compare("peer-key", running.peerKey, wanted.peerKey);
+    compare("operator-key-hash", running.operatorKeyHash, wanted.operatorKeyHash);
+    return keys;
+}
+
 HostSettings parseHostSettings(const std::string &file, const std::string &text, Findings &findings)
 {
     return readParts(file, text, parts, findings);
--- a/src/settings/hostsettings.h
+++ b/src/settings/hostsettings.h
@@ -38,6 +38,8 @@
 
     // [keys] shared by our processes
     std::string peerKey;
+    // SHA-256 of the operators' key, in hex; without it operators' calls are refused.
+    std::string operatorKeyHash;
 
     // [log]
     std::string logLevel = "info";
@@ -46,6 +48,10 @@
     std::string peerAddress() const { return address + ":" + std::to_string(peerPort); }
 };
 
+// Keys whose change takes effect at the next start only, joined by commas. The log, the grace of a
+// stop and the time that leaving servers have take effect at once.
+std::string changedForRestart(const HostSettings &running, const HostSettings &wanted);
+
 HostSettings parseHostSettings(const std::string &file, const std::string &text,
                                Findings &findings);
 
--- a/tests/group/serverlist_test.cpp
+++ b/tests/group/serverlist_test.cpp
@@ -66,14 +66,33 @@
 {
     ListedServer leaving = server();
     leaving.leaving = true;
+    leaving.leavingSince = timers.now();
     list.onListed(leaving);
     const Instant first = timers.now();
     timers.advance(1s);
     leaving.slots = 2;
+    leaving.leavingSince = timers.now();
     list.onListed(leaving);
     CHECK(servers[0].leavingSince == first);
 }
 
+TEST_CASE_METHOD(Fixture, "News of a server that leaves count from when it may have said so")
+{
+    list.onListed(server());
+    timers.advance(20s);
+    ListedServer leaving = server();
+    leaving.leaving = true;
+    const Instant said = timers.now() - 3s;
+    leaving.leavingSince = said;
+    list.onListed(leaving);
+    CHECK(servers[0].leavingSince == said);
+    // One that was leaving when this process began may have left long ago.
+    leaving.id = "i-2";
+    leaving.leavingSince = Instant();
+    list.onListed(leaving);
+    CHECK(servers[1].leavingSince == Instant());
+}
+
 TEST_CASE("A position holds everything acknowledged before its question was sent")
 {
     decision::PositionLog log;
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -265,6 +265,7 @@
         listed.zone = server.zone;
         listed.slots = 3;
         listed.leaving = server.leaving;
+        listed.leavingSince = timers_.now();
         listed.primary = server.primary;
         list.push_back(listed);
     }
--- a/tests/services/tablefollower_test.cpp
+++ b/tests/services/tablefollower_test.cpp
@@ -38,9 +38,12 @@
     {
         follower = std::make_unique<TableFollower>(
             TableFollower::Parts {timers, feed, log}, "t", 5s,
-            TableFollower::Handlers {
-                [this](const TableRow &row) { rows.push_back(row.key + "=" + row.value); },
-                [this](const std::string &key) { rows.push_back("-" + key); }, [] {}});
+            TableFollower::Handlers {[this](const TableRow &row) {
+                                         rows.push_back(row.key + "=" + row.value);
+                                         changedAfter = row.changedAfter;
+                                     },
+                                     [this](const std::string &key) { rows.push_back("-" + key); },
+                                     [] {}});
         follower->start();
     }
 
@@ -52,6 +55,7 @@
     }()};
     FakeFeed feed;
     std::vector<std::string> rows;
+    std::optional<Instant> changedAfter;
     std::unique_ptr<TableFollower> follower;
 };
 
@@ -96,3 +100,43 @@
     CHECK(feed.snapshots == 1);
     CHECK(rows.size() == 1);
 }
+
+TEST_CASE_METHOD(Fixture, "News tell the earliest time at which they may have happened")
+{
+    // The service's clock is 100 s behind, and each way takes 2 ms.
+    const auto serviceTime = [&](Duration back) {
+        return (timers.now() - back).time_since_epoch() - 100s;
+    };
+    const auto change = [](const std::string &etag) {
+        return std::vector<RowChange> {{{"k", "v", etag}, false}};
+    };
+    Fixture::start();
+    timers.advance(4ms);
+    feed.onSnapshot(TableSnapshot {{{"k", "v", "1"}}, 1, serviceTime(2ms)});
+    CHECK(!changedAfter);
+    // 1. Held back for a second: it happened just then.
+    timers.advance(1s);
+    feed.onChanges(TableChanges {change("2"), 2, serviceTime(2ms)});
+    REQUIRE(changedAfter);
+    CHECK(*changedAfter == timers.now());
+    // 2. The same, but the answer was held up for three seconds.
+    timers.advance(4s);
+    feed.onChanges(TableChanges {change("3"), 3, serviceTime(3s)});
+    REQUIRE(changedAfter);
+    CHECK(*changedAfter == timers.now() - 3s + 2ms);
+    // 3. Two questions were lost, and the third is answered at once: at any time since the last.
+    const Instant lastAnswer = *changedAfter;
+    timers.advance(2s);
+    feed.onChanges(absl::UnavailableError("lost"));
+    timers.advance(250ms);
+    feed.onChanges(absl::UnavailableError("lost"));
+    timers.advance(250ms);
+    timers.advance(4ms);
+    feed.onChanges(TableChanges {change("4"), 4, serviceTime(2ms)});
+    REQUIRE(changedAfter);
+    CHECK(*changedAfter == lastAnswer);
+    // 4. Another service, whose clock is behind: nothing is known.
+    timers.advance(1s);
+    feed.onChanges(TableChanges {change("5"), 5, Duration(1s)});
+    CHECK(!changedAfter);
+}
