Planned changes do not wait for a server that has left for good

Change: a server whose entry is missing and at whose address nothing listens, or another server does, is not waited for. Test: world_test, 'A planned change does not wait for a server that has left for good', which fails without it.

--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -162,8 +162,7 @@
         retryAt_ = parts_.timers.now() + connectPause;
         if (outcome == ConnectOutcome::TooManyConnections)
             heard();
-        else
-            unreachable_ = true;
+        noteOutcome(outcome);
         parts_.log.info("server_connect_failed")
             .with("server", listed_.id)
             .with("outcome", static_cast<int>(outcome))
@@ -171,7 +170,7 @@
         parts_.onTrouble(listed_.id, outcome);
         return;
     }
-    unreachable_ = false;
+    noteOutcome(outcome);
     heard();
     auto pooled = std::make_shared<PooledConnection>();
     pooled->connection = connection;
@@ -187,6 +186,12 @@
     parts_.onFree();
 }
 
+void GroupServer::noteOutcome(ConnectOutcome outcome)
+{
+    unreachable_ = outcome != ConnectOutcome::Ok && outcome != ConnectOutcome::TooManyConnections;
+    absent_ = outcome == ConnectOutcome::Refused || outcome == ConnectOutcome::WrongServer;
+}
+
 void GroupServer::onIdleEnded(const PooledConnectionPtr &connection)
 {
     const auto found = std::find(idle_.begin(), idle_.end(), connection);
@@ -208,12 +213,12 @@
             if (connection)
                 connection->close();
             if (*alive) {
-                unreachable_ = outcome != ConnectOutcome::TooManyConnections;
+                noteOutcome(outcome);
                 parts_.onTrouble(listed_.id, outcome);
             }
             return callback({{}, true});
         }
-        unreachable_ = false;
+        noteOutcome(outcome);
         heard();
         if (control_)
             control_->close();
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -99,6 +99,8 @@
     const ListedServer &listed() const { return listed_; }
     // The last attempt to connect failed and none has succeeded since.
     bool isUnreachable() const { return unreachable_; }
+    // It is not running: nothing listens at its address, or another server does.
+    bool isAbsent() const { return absent_; }
     int connections() const { return total_; }
     ServerAddress address() const { return {listed_.id, listed_.group, listed_.endpoint}; }
 
@@ -123,6 +125,7 @@
     std::vector<PooledConnectionPtr> workingSince(Instant instant) const;
     void freeSlot(PooledConnection &connection);
     void giveUpReads(Instant asked);
+    void noteOutcome(ConnectOutcome outcome);
     void runControl(ServerCommand command, Duration timeout, BatchCallback callback);
     int share() const;
     bool owes() const;
@@ -141,6 +144,7 @@
     int opening_ = 0;
     int inFlight_ = 0;
     bool unreachable_ = false;
+    bool absent_ = false;
     Instant retryAt_ {};
     Instant lastHeard_;
     Instant owedFrom_ {};
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -488,12 +488,15 @@
     chooseCandidate(parts_.timers.now());
 }
 
-// Whether all replicas but the candidate receive nothing more.
+// Whether all replicas but the candidate receive nothing more. One that is neither listed nor
+// running has left for good.
 bool PrimaryKeeper::othersHaveStopped() const
 {
-    for (const auto &[id, server] : servers_)
-        if (id != oldPrimary_ && id != candidate_ && stopped_.count(id) == 0)
+    for (const auto &[id, server] : servers_) {
+        const bool hasLeft = server->listed().missing && server->isAbsent();
+        if (id != oldPrimary_ && id != candidate_ && stopped_.count(id) == 0 && !hasLeft)
             return false;
+    }
     return true;
 }
 
--- a/src/group/serverlist.cpp
+++ b/src/group/serverlist.cpp
@@ -55,6 +55,8 @@
     found->second.missing = true;
     const std::uint64_t appearance = found->second.appearance;
     log_.info("server_missing").with("server", server);
+    found->second.server.missing = true;
+    tell(found->second.server.group);
     timers_.subscribeAfter(
         lapseTime, [this, server, appearance] { onStillMissing(server, appearance, false); });
     timers_.subscribeAfter(lapseTime + leaveTime, [this, server, appearance] {
--- a/src/group/serverport.h
+++ b/src/group/serverport.h
@@ -164,6 +164,8 @@
     Instant leavingSince {};
     // As the server saw itself when it reported last.
     bool primary = false;
+    // Its entry is missing: it may have left, or the list has lost it for a moment.
+    bool missing = false;
 };
 
 enum class PromotionOutcome {
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -582,11 +582,25 @@
 }
 
 void World::list()
+{
+    for (const auto &[id, server] : group.servers())
+        relist(id);
+}
+
+void World::relist(const ServerName &id)
 {
     for (const auto &host : hosts)
         if (host && host->up)
             for (const kelptally::group::ListedServer &server : group.listed())
-                host->process->servers().onListed(server);
+                if (server.id == id)
+                    host->process->servers().onListed(server);
+}
+
+void World::unlist(const ServerName &server)
+{
+    for (const auto &host : hosts)
+        if (host && host->up)
+            host->process->servers().onMissing(server);
 }
 
 void World::drain(std::size_t host)
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -62,6 +62,10 @@
     // Index of the host that owns the group by the store's row; -1 when none.
     int owner() const;
     void list();
+    // The same for one server.
+    void relist(const ServerName &id);
+    // The server's entry is gone from the list.
+    void unlist(const ServerName &server);
     // A planned stop of the host.
     void drain(std::size_t host);
 
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -525,3 +525,22 @@
         CHECK((read->done && read->result.reason == Reason::None));
     checkRight(world);
 }
+
+TEST_CASE("A planned change does not wait for a server that has left for good")
+{
+    World world(25);
+    settle(world);
+    const ServerName primary = world.group.primary();
+    const ServerName left = primary == "cases-3" ? "cases-2" : "cases-3";
+    world.group.crash(left);
+    world.unlist(left);
+    world.run(100ms);
+    world.group.servers().at(primary).leaving = true;
+    for (const auto &[id, server] : world.group.servers())
+        if (id != left)
+            world.relist(id);
+    world.run(700ms);
+    CHECK(world.group.promotions == 1);
+    CHECK(world.timeToWrite(0, 1s));
+    checkRight(world);
+}
