Count a server's leaving from the answer before the one that tells it

A question to the store may be held up on its way as well as its answer, so that 'held back by the service' cannot be told from the time of asking.

--- a/src/services/tablefollower.cpp
+++ b/src/services/tablefollower.cpp
@@ -9,9 +9,6 @@
 
 // Pause after a call that failed: a service that refuses is not asked all the time.
 constexpr Duration failedPause = std::chrono::milliseconds(250);
-// A question that the service answers later than this after its arrival was held back until
-// something changed; the store answers at once in 4 ms, and in 240 when it is slow.
-constexpr Duration heldAtLeast = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -32,7 +29,6 @@
 
 void TableFollower::readAll()
 {
-    asked_ = parts_.timers.now();
     parts_.feed.snapshot(table_, [this, alive = alive_](absl::StatusOr<TableSnapshot> snapshot) {
         if (!*alive)
             return;
@@ -64,7 +60,6 @@
 
 void TableFollower::follow()
 {
-    asked_ = parts_.timers.now();
     parts_.feed.changes(table_, next_, feedWait_,
                         [this, alive = alive_](absl::StatusOr<TableChanges> changes) {
                             if (*alive)
@@ -98,8 +93,8 @@
 }
 
 // Snapshots and changes overtake each other: a version below the known one is old news.
-// News may have been long under way: an answer may be held up, or come after several that were
-// lost. Gives the earliest time at which what it tells may have happened.
+// News may have been long under way: the question or its answer may be held up, or come after
+// several that were lost. Whatever an answer tells has happened since the one before.
 std::optional<Instant> TableFollower::noteTime(std::optional<Duration> serviceTime)
 {
     if (!serviceTime)
@@ -112,9 +107,7 @@
     answeredAt_ = serviceTime;
     if (!known)
         return std::nullopt;
-    const Duration arrived = asked_.time_since_epoch() - clockOffset_;
-    const bool held = *serviceTime - arrived > heldAtLeast;
-    return Instant((held ? *serviceTime : *before) + clockOffset_);
+    return Instant(*before + clockOffset_);
 }
 
 void TableFollower::apply(const TableRow &news, std::optional<Instant> changedAfter)
--- a/src/services/tablefollower.h
+++ b/src/services/tablefollower.h
@@ -58,8 +58,7 @@
     // Version of each row as last seen.
     std::map<std::string, std::string> versions_;
     std::uint64_t next_ = 0;
-    // When the open question was asked, and the service's clock at its last answer.
-    Instant asked_ {};
+    // The service's clock at its last answer.
     std::optional<Duration> answeredAt_;
     // This host's clock less the service's, at the fastest answer so far.
     Duration clockOffset_ {0};
