Owners that the store turns away or that miss the primary give their groups to others; nothing is sent twice

Change: such an owner asks the hosts that it has links with to claim the group; those that reach the named server do. Statement numbers only go up, so the owner refuses, as unknown, copies of what it may have forgotten; entries send nothing again after its deadline, and give it up half a second later. An entry that comes back is the same one. Soak learns silent and reset connections and transactions (soak_checker -c). Operators' calls, histograms and the watched settings file have their tests.

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -32,7 +32,7 @@
                           callback(outcome == ProbeOutcome::Refused);
                       });
                   },
-                  parts.askPeers,
+                  parts.askPeers, parts.tellPeers,
                   [this](const GroupName &group) {
                       const auto found = servers_.find(group);
                       if (found != servers_.end())
@@ -165,7 +165,20 @@
             static_cast<void>(parts_.links.sendOn(link, std::move(done)));
         });
     }
-    // 2. Anything else runs once: a second copy waits for the first one's answer, or gets it.
+    // 2. Anything else runs once: a second copy waits for the first one's answer, or gets it. One
+    // that may be a copy of a forgotten statement does not run.
+    const bool mayBeForgotten = statement.requestId <= entry->forgottenUpTo
+        && entry->answers.count(statement.requestId) == 0;
+    if (mayBeForgotten) {
+        inner::StatementDone done;
+        done.requestId = statement.requestId;
+        done.reason = Reason::Unconfirmed;
+        done.executed = Executed::Unknown;
+        done.detail = "it may have run already, and its answer is not kept any more";
+        static_cast<void>(parts_.links.sendOn(link, std::move(done)));
+        return;
+    }
+    entry->newest = std::max(entry->newest, statement.requestId);
     const auto [answer, isNew] = entry->answers.try_emplace(statement.requestId);
     answer->second.link = link;
     if (!isNew) {
@@ -198,6 +211,7 @@
     entry.answered.emplace_back(now, done.requestId);
     answer->second.done = std::move(done);
     while (now - entry.answered.front().first > keepAnswers) {
+        entry.forgottenUpTo = std::max(entry.forgottenUpTo, entry.answered.front().second);
         entry.answers.erase(entry.answered.front().second);
         entry.answered.pop_front();
     }
@@ -256,8 +270,10 @@
     peers_[link] = peer;
     const std::string &address = peer.process.address;
     const auto known = entries_.find(address);
-    if (known != entries_.end() && known->second.process != peer.process)
-        endEntry(address);
+    if (known != entries_.end() && known->second.process != peer.process) {
+        endEntry(known->second);
+        entries_.erase(known);
+    }
     Entry &entry = entries_[address];
     if (entry.origin == 0) {
         entry.process = peer.process;
@@ -274,21 +290,19 @@
     if (entry == nullptr || entry->links.erase(link) == 0 || !entry->links.empty())
         return;
     const std::string address = entry->process.address;
-    entry->gone =
-        parts_.timers.subscribeAfter(entryReturns, [this, address] { endEntry(address); });
+    entry->gone = parts_.timers.subscribeAfter(entryReturns,
+                                               [this, address] { endEntry(entries_.at(address)); });
 }
 
-// What its sessions have open is rolled back.
-void GroupHost::endEntry(const std::string &address)
+// The entry itself stays known: should it come back, it must not make anything run twice.
+void GroupHost::endEntry(Entry &entry)
 {
-    const auto found = entries_.find(address);
-    if (found == entries_.end())
-        return;
-    const inner::LinkId origin = found->second.origin;
-    parts_.timers.cancel(found->second.gone);
-    entries_.erase(found);
+    parts_.timers.cancel(entry.gone);
+    entry.forgottenUpTo = entry.newest;
+    entry.answers.clear();
+    entry.answered.clear();
     for (const auto &[group, held] : groups_)
-        held.runner->onOriginGone(origin);
+        held.runner->onOriginGone(entry.origin);
 }
 
 void GroupHost::handOverAll(const std::map<std::string, inner::Hello> &peers)
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -30,6 +30,7 @@
         ZoneName zone;
         // Asks other processes who owns the group.
         std::function<void(const GroupName &)> askPeers;
+        std::function<void(const inner::TakeOver &)> tellPeers;
         // Another owner is known; the router places what waits.
         std::function<void(const GroupName &)> onOwnerChanged;
         // See GroupServer::Parts.
@@ -99,11 +100,16 @@
         TimerId gone = 0;
         std::unordered_map<inner::RequestId, Answer> answers;
         std::deque<std::pair<Instant, inner::RequestId>> answered;
+        // Numbers only go up. Of those up to this one that have no answer here, nothing is known any
+        // more.
+        inner::RequestId forgottenUpTo = 0;
+        inner::RequestId newest = 0;
     };
 
     Entry *entryOf(inner::LinkId link);
     void onAnswered(const std::string &address, inner::LinkId origin, inner::StatementDone done);
-    void endEntry(const std::string &address);
+    // What its sessions have open is rolled back.
+    void endEntry(Entry &entry);
     Held &held(const GroupName &group);
     GroupRunner *find(const GroupName &group) const;
     void closeWhenQuiet(const GroupName &group);
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -30,6 +30,11 @@
 // of them writes. In the primary's zone they come first: statements then cross zones less.
 constexpr Duration claimSpread = std::chrono::milliseconds(60);
 constexpr Duration otherZoneDelay = std::chrono::milliseconds(80);
+// Other processes are asked to take a group this far apart.
+constexpr Duration takeOverPause = std::chrono::milliseconds(500);
+// With less than this part of the lease left, others are asked to take the group while it is served:
+// the store may turn away this process alone.
+constexpr int leasePartsLeft = 3;
 // A claim that the store did not even let read its row is tried again after this pause.
 constexpr Duration claimPause = std::chrono::milliseconds(250);
 // Questions about one group, to the store or to peers, are this far apart.
@@ -495,12 +500,44 @@
           });
 }
 
+// Giving a group to whoever can do more for it
+
+void OwnershipTable::askTakeOver(const GroupName &group, const std::string &reach,
+                                 const std::string &why)
+{
+    Entry &entry = entries_[group];
+    const Instant now = parts_.timers.now();
+    if (!owns(group) || now < entry.askTakeOverAfter)
+        return;
+    entry.askTakeOverAfter = now + takeOverPause;
+    parts_.log.warning("take_over_asked", why)
+        .with("group", group)
+        .with("epoch", entry.record.epoch)
+        .with("lease_left_ms", leaseLeft(group))
+        .with("reach", reach);
+    parts_.tellPeers({group, entry.record.epoch, reach});
+}
+
+void OwnershipTable::takeOver(const GroupName &group, OwnerEpoch epoch)
+{
+    const Entry &entry = entries_[group];
+    if (owns(group) || entry.record.epoch > epoch)
+        return;
+    // The row is read before; the owner asks again.
+    if (entry.record.epoch < epoch)
+        return refreshOwner(group);
+    planClaim(group, "asked", claimDelay(group));
+}
+
 // Leases
 
 void OwnershipTable::renew()
 {
-    for (const GroupName &group : owned())
+    for (const GroupName &group : owned()) {
+        if (leaseLeft(group) < lease / leasePartsLeft)
+            askTakeOver(group, std::string(), "lease_runs_out");
         renewOne(group);
+    }
 }
 
 void OwnershipTable::renewOne(const GroupName &group)
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -68,6 +68,8 @@
         std::function<void(const std::string &address, std::function<void(bool refused)>)> probe;
         // Asks other processes who owns the group; what they know comes to learnOwner().
         std::function<void(const GroupName &)> askPeers;
+        // Sends it to all processes that there is a link with.
+        std::function<void(const inner::TakeOver &)> tellPeers;
         // Zone of the group's primary, as far as known.
         std::function<ZoneName(const GroupName &)> primaryZone;
     };
@@ -105,6 +107,12 @@
     void handOver(const GroupName &group, const ProcessId &to,
                   std::function<void(absl::Status)> callback);
 
+    // This process owns the group and can't do what it needs: another one that reaches the endpoint,
+    // or any if that is empty, should claim it. Said at most twice a second.
+    void askTakeOver(const GroupName &group, const std::string &reach, const std::string &why);
+    // An owner has asked for it.
+    void takeOver(const GroupName &group, OwnerEpoch epoch);
+
     // Another run of the process at the address, or the same, was heard.
     void onPeerUp(const ProcessId &process);
     void onEnded(const std::string &address, const inner::OwnershipEnded &ended);
@@ -121,6 +129,7 @@
         Instant claimAfter {};
         // The row and the peers are not asked again before then.
         Instant askAfter {};
+        Instant askTakeOverAfter {};
         Instant leaseUntil {};
         // The owner before this process, until it is known to have ended.
         std::optional<ProcessId> predecessor;
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -34,6 +34,11 @@
 // A listed primary that can't be reached is given this long before it counts as lost.
 constexpr Duration lookFor = std::chrono::milliseconds(450);
 constexpr Duration recordPause = std::chrono::milliseconds(100);
+// The store takes a change within this time also when it is slow; longer means that it may turn this
+// process away.
+constexpr Duration recordTime = std::chrono::milliseconds(600);
+// Without a primary for this long, and unable to change it, the owner looks for one that reaches it.
+constexpr Duration reachAfter = std::chrono::milliseconds(600);
 constexpr Duration callTimeout = std::chrono::milliseconds(1500);
 constexpr Duration callPause = std::chrono::milliseconds(60);
 // The candidate leads some hundred ms after the call; longer means that the call was lost.
@@ -431,10 +436,22 @@
     }
     if (mayChange)
         chooseCandidate(now);
+    askForReach(now);
     if (step_ == Step::StoppingReplicas && planned_ && inStep(now) >= plannedStopTime)
         abandonPlanned();
 }
 
+// This process can't reach the primary and may not replace it yet, as an owner before it may still
+// act. Another process may reach it.
+void PrimaryKeeper::askForReach(Instant now)
+{
+    GroupServer *old = find(oldPrimary_);
+    if (planned_ || old == nullptr || inStep(now) < reachAfter
+        || parts_.ownership.isAlone(group_))
+        return;
+    parts_.ownership.askTakeOver(group_, old->listed().endpoint, "primary_unreachable");
+}
+
 // The replicas cannot be brought to where the change is safe: the primary serves on meanwhile, with
 // all of them, and another candidate is tried a little later.
 void PrimaryKeeper::abandonPlanned()
@@ -574,6 +591,10 @@
     const ServerName candidate = candidate_;
     const Term term = term_;
     const bool serves = !primary_.empty();
+    parts_.timers.subscribeAfter(recordTime, [this, alive = alive_, change] {
+        if (*alive && change == change_ && step_ == Step::Recording)
+            parts_.ownership.askTakeOver(group_, std::string(), "candidate_unrecorded");
+    });
     parts_.ownership.change(
         group_,
         [candidate, term, serves](OwnershipRecord &row) {
@@ -589,7 +610,8 @@
             parts_.log.warning("candidate_unrecorded")
                 .with("group", group_)
                 .with("cause", written.message());
-            // With the store away nothing can be promoted; the servers are looked at again.
+            // With the store away for all nothing can be promoted; the servers are looked at again.
+            parts_.ownership.askTakeOver(group_, std::string(), "candidate_unrecorded");
             recordAfter_ = parts_.timers.now() + recordPause;
             if (planned_)
                 return abandonPlanned();
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -98,6 +98,7 @@
     void onStopped(const ServerName &server, const ServerReport &report, Instant asked);
     void chooseCandidate(Instant now);
     bool othersHaveStopped() const;
+    void askForReach(Instant now);
     void abandonPlanned();
     void cancelChange(const std::string &why);
     void recordCandidate();
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t closedPerStep = 20;
 // A statement that begins less than this before the end of the grace may not end within it.
 constexpr Duration lastStatements = std::chrono::milliseconds(2300);
+// A server that is well accepts a connection within this time, from any zone.
+constexpr Duration reachTimeout = std::chrono::milliseconds(150);
 // Left of the grace when the process ends in any case.
 constexpr Duration leftAtEnd = std::chrono::milliseconds(700);
 
@@ -53,6 +55,10 @@
             for (const auto &[link, address] : linkAddresses_)
                 static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
         },
+        [this](const inner::TakeOver &message) {
+            for (const auto &[link, address] : linkAddresses_)
+                static_cast<void>(links_->sendOn(link, message));
+        },
         [this](const GroupName &group) { router_->onOwnerChanged(group); },
         [this](Instant since) { onSilence(since); }});
     router_ = std::make_unique<session::Router>(
@@ -280,6 +286,19 @@
     static_cast<void>(links_->sendOn(link, inner::AliveAnswer {message.sequence}));
 }
 
+void HostProcess::handle(inner::LinkId, inner::TakeOver &message)
+{
+    if (draining_)
+        return;
+    if (message.reach.empty())
+        return groups_->ownership().takeOver(message.group, message.epoch);
+    ports_.probe(message.reach, reachTimeout,
+                 [this, group = message.group, epoch = message.epoch](ProbeOutcome outcome) {
+                     if (outcome == ProbeOutcome::Accepted)
+                         groups_->ownership().takeOver(group, epoch);
+                 });
+}
+
 void HostProcess::handle(inner::LinkId, inner::Stopping &message)
 {
     const auto peer = peers_.find(message.process.address);
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -102,6 +102,7 @@
     void handle(inner::LinkId link, inner::OwnershipEndRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEnded &message);
     void handle(inner::LinkId link, inner::Stopping &message);
+    void handle(inner::LinkId link, inner::TakeOver &message);
     void handle(inner::LinkId link, inner::Locate &message);
     void handle(inner::LinkId link, inner::LocateAnswer &message);
     template <typename Other>
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -310,6 +310,14 @@
     archive.number(m.epoch);
 }
 
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const TakeOver &)
+{
+    archive.text(m.group, maxNameBytes);
+    archive.number(m.epoch);
+    archive.text(m.reach, maxNameBytes);
+}
+
 template <typename Archive, typename M>
 void layout(Archive &archive, M &m, const Stopping &)
 {
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -355,10 +355,20 @@
     ProcessId process;
 };
 
+// The sender owns the group under the epoch and can't do what it needs: the receiver is asked to
+// claim the group, if it reaches the endpoint, which may be empty.
+struct TakeOver
+{
+    GroupName group;
+    OwnerEpoch epoch = 0;
+    // "ip:port"
+    std::string reach;
+};
+
 using Message =
     std::variant<Hello, Execute, ExecuteResult, Cancel, Heartbeat, HeartbeatAnswer, Locate,
                  LocateAnswer, HandOver, ConfigNotice, ConfigRequest, ConfigAnswer, OperatorRequest,
                  OperatorAnswer, RunStatement, StatementDone, EndTransaction, AliveRequest,
-                 AliveAnswer, OwnershipEndRequest, OwnershipEnded, Stopping>;
+                 AliveAnswer, OwnershipEndRequest, OwnershipEnded, Stopping, TakeOver>;
 
 } // namespace kelptally::inner
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -33,6 +33,8 @@
 constexpr Duration elsewhereSoon = std::chrono::milliseconds(20);
 // Chosen, not measured: a statement that meets so many lost owners is given up.
 constexpr int maxAttempts = 6;
+// An owner answers by the deadline of a statement; this long after it the answer is lost.
+constexpr Duration lateAnswer = std::chrono::milliseconds(500);
 const std::string linkDown = "link_down";
 
 } // namespace
@@ -320,7 +322,8 @@
         static_cast<void>(parts_.links.sendTo(address, end));
     std::size_t count = 0;
     for (auto &[id, pending] : pending_) {
-        if (pending.address != address)
+        // What is late is given up in a moment; its answer may not be kept there any more.
+        if (pending.address != address || now >= pending.deadline)
             continue;
         ++count;
         pending.statement.timeLeft = std::max(Duration(0), pending.deadline - now);
@@ -429,6 +432,12 @@
     const Instant now = parts_.timers.now();
     const bool paused = now - lastTick_ > ownPause;
     lastTick_ = now;
+    std::vector<inner::RequestId> late;
+    for (const auto &[id, pending] : pending_)
+        if (!pending.address.empty() && now >= pending.deadline + lateAnswer)
+            late.push_back(id);
+    for (const inner::RequestId id : late)
+        onAnswerLost(id, "late");
     std::vector<std::string> watched;
     std::vector<std::string> lost;
     for (auto &[address, peer] : peers_) {
--- a/tests/host/soak.cpp
+++ b/tests/host/soak.cpp
@@ -10,11 +10,14 @@
 constexpr Duration step = 25ms;
 // A fault begins about this often, and some stay for seconds, so that they overlap.
 constexpr double faultChance = 0.025;
+constexpr double connectionFaultChance = 0.01;
 
 class Soak
 {
 public:
-    explicit Soak(std::uint64_t seed) : world_(seed), random_(seed * 7919 + 1) { }
+    Soak(std::uint64_t seed, SoakKind kind)
+        : kind_(kind), world_(seed), random_(seed * 7919 + 1), more_(seed * 104729 + 5)
+    { }
 
     SoakResult run()
     {
@@ -25,6 +28,10 @@
                 fault();
             heal(false);
             statement();
+            if (kind_ == SoakKind::Connections) {
+                connectionFault();
+                transaction();
+            }
             world_.run(step);
         }
         heal(true);
@@ -172,16 +179,59 @@
         }
     }
 
+    // Drawn from a sequence of their own, so that the other faults of a seed stay what they are.
+    void connectionFault()
+    {
+        if (std::uniform_real_distribution<double>(0, 1)(more_) >= connectionFaultChance)
+            return;
+        switch (std::uniform_int_distribution<int>(0, 2)(more_)) {
+        case 0:
+            return world_.silenceLinks();
+        case 1:
+            return world_.resetLinks();
+        default:
+            for (const auto &[id, server] : world_.group.servers())
+                world_.group.silence(id);
+        }
+    }
+
+    // One transaction at a time: begun, and committed some steps later.
+    void transaction()
+    {
+        if (begun_ && begun_->done) {
+            const bool open = begun_->result.reason == Reason::None && world_.isUp(entry_);
+            begun_ = nullptr;
+            if (open)
+                world_.commit(entry_, session_);
+            return;
+        }
+        if (begun_ && world_.timers.now() - beganAt_ < 2s)
+            return;
+        entry_ = std::uniform_int_distribution<std::size_t>(0, 2)(more_);
+        if (!world_.isUp(entry_))
+            return;
+        session_ = ++lastSession_;
+        beganAt_ = world_.timers.now();
+        begun_ = world_.begin(entry_, session_);
+    }
+
+    const SoakKind kind_;
     World world_;
     std::mt19937_64 random_;
+    std::mt19937_64 more_;
+    World::OutcomePtr begun_;
+    std::size_t entry_ = 0;
+    std::uint64_t session_ = 0;
+    std::uint64_t lastSession_ = 1'000'000;
+    Instant beganAt_ {};
     std::vector<std::pair<Instant, std::function<void()>>> healing_;
 };
 
 } // namespace
 
-SoakResult soak(std::uint64_t seed)
+SoakResult soak(std::uint64_t seed, SoakKind kind)
 {
-    return Soak(seed).run();
+    return Soak(seed, kind).run();
 }
 
 } // namespace kelptally::model
--- a/tests/host/soak.h
+++ b/tests/host/soak.h
@@ -17,7 +17,13 @@
     int promotions = 0;
 };
 
-// One random schedule of faults and statements; the same for the same seed.
-SoakResult soak(std::uint64_t seed);
+enum class SoakKind {
+    Faults,
+    // Besides, open connections go silent or are reset, and entries run transactions.
+    Connections,
+};
+
+// One random schedule of faults and statements; the same for the same seed and kind.
+SoakResult soak(std::uint64_t seed, SoakKind kind = SoakKind::Faults);
 
 } // namespace kelptally::model
--- a/tests/host/soak_main.cpp
+++ b/tests/host/soak_main.cpp
@@ -12,7 +12,12 @@
     TCLAP::CmdLine command("Random schedules of faults for hosts, store and servers.");
     TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "First seed", false, 1, "N", command);
     TCLAP::ValueArg<int> count("n", "count", "Schedules to run", false, 100, "N", command);
+    TCLAP::SwitchArg connections("c", "connections",
+                                 "Also connections that go silent or are reset, and transactions",
+                                 command);
     command.parse(argc, argv);
+    const auto kind =
+        connections.getValue() ? model::SoakKind::Connections : model::SoakKind::Faults;
     int failed = 0;
     int acknowledged = 0;
     int refused = 0;
@@ -22,7 +27,7 @@
     Duration slowest {0};
     for (int i = 0; i < count.getValue(); ++i) {
         const std::uint64_t current = seed.getValue() + std::uint64_t(i);
-        const model::SoakResult result = model::soak(current);
+        const model::SoakResult result = model::soak(current, kind);
         acknowledged += result.acknowledged;
         refused += result.refused;
         unknown += result.unknown;
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -26,6 +26,7 @@
     {2227, "an owner that got its group back read at the primary it had known"},
     {5250, "an owner that got its group back read at the primary it had known"},
     {6059, "an owner that got its group back read at the primary it had known"},
+    {700705, "a write was sent again after its owner had forgotten that it had run"},
 };
 
 } // namespace
@@ -57,3 +58,16 @@
     CHECK(promotions > 50);
     CHECK(acknowledged > 10'000);
 }
+
+TEST_CASE("Connections that go silent or are reset among other faults break no promise")
+{
+    int acknowledged = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const model::SoakResult result = model::soak(seed, model::SoakKind::Connections);
+        INFO("seed " << seed);
+        CHECK(result.violations == std::vector<std::string>());
+        CHECK(result.recovered);
+        acknowledged += result.acknowledged;
+    }
+    CHECK(acknowledged > 4'000);
+}
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -544,3 +544,66 @@
     CHECK(world.timeToWrite(0, 1s));
     checkRight(world);
 }
+
+TEST_CASE("An owner that the store turns away gives the group to one that can replace the primary")
+{
+    World world(26);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host)
+        REQUIRE(world.timeToWrite(host, 1s));
+    const int owner = world.owner();
+    world.store.cut.insert("10.0.0." + std::to_string(owner + 1) + ":1");
+    world.run(100ms);
+    world.group.crash(world.group.primary());
+    const auto gap = world.timeToWrite(otherThan(owner), 8s);
+    REQUIRE(gap);
+    CHECK(*gap < 2500ms);
+    CHECK(world.owner() != owner);
+    checkRight(world);
+}
+
+TEST_CASE("An owner that the store turns away for longer than its lease stalls nobody")
+{
+    World world(27);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host)
+        REQUIRE(world.timeToWrite(host, 1s));
+    const int owner = world.owner();
+    world.store.cut.insert("10.0.0." + std::to_string(owner + 1) + ":1");
+    for (int i = 0; i < 100; ++i) {
+        const auto write = world.write(otherThan(owner));
+        CHECK(world.runUntil(700ms, [&] { return write->done; }));
+        CHECK(write->result.reason == Reason::None);
+        world.run(200ms);
+    }
+    checkRight(world);
+}
+
+TEST_CASE("A new owner that does not reach the primary gives the group to one that does")
+{
+    World world(28);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host)
+        REQUIRE(world.timeToWrite(host, 1s));
+    const int owner = world.owner();
+    const ServerName primary = world.group.primary();
+    // The owner goes dark, and of the others only one reaches the primary.
+    const std::size_t near = otherThan(owner);
+    const std::size_t far = std::size_t(3 - owner - int(near));
+    world.group.cuts.insert({"10.0.0." + std::to_string(far + 1) + ":1", primary});
+    world.store.cut.insert("10.0.0." + std::to_string(near + 1) + ":1");
+    world.cut(std::size_t(owner), true);
+    CHECK(world.runUntil(4s, [&] {
+        world.write(far);
+        world.write(near);
+        world.run(20ms);
+        return world.owner() == int(far);
+    }));
+    world.store.cut.clear();
+    const auto gap = world.timeToWrite(near, 5s);
+    REQUIRE(gap);
+    CHECK(*gap < 3s);
+    CHECK(world.owner() == int(near));
+    CHECK(world.group.promotions == 0);
+    checkRight(world);
+}
--- a/tests/inner/samplemessages.h
+++ b/tests/inner/samplemessages.h
@@ -123,6 +123,7 @@
         OwnershipEndRequest {"offers", 6},
         OwnershipEnded {"offers", 6},
         Stopping {process},
+        TakeOver {"offers", 6, "10.0.0.1:5432"},
     };
 }
 
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -1,3 +1,5 @@
+#include "admin/ctlcommands.h"
+#include "core/digest.h"
 #include "fakeplatform.h"
 
 #include <boost/asio/connect.hpp>
@@ -9,6 +11,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <sstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -46,13 +49,14 @@
     std::string line()
     {
         boost::system::error_code error;
-        boost::asio::read_until(socket_, buffer_, "\r\n", error);
+        boost::asio::read_until(socket_, buffer_, '\n', error);
         if (error)
             return "closed";
         std::istream stream(&buffer_);
         std::string text;
         std::getline(stream, text);
-        text.pop_back();
+        if (!text.empty() && text.back() == '\r')
+            text.pop_back();
         return text;
     }
 
@@ -151,22 +155,56 @@
     FakeServer server {thread_, "i-1"};
     const int callerPort = freePort();
     const int readinessPort = freePort();
+    const int adminPort = freePort();
     pid_t process = 0;
 
+    static constexpr const char *operatorKey = "the operators' own key";
+
+    // The settings with this log level and these lines at the end.
+    void writeSettings(const std::string &level, const std::string &more = "")
+    {
+        // In one step, as the platform does it.
+        std::ofstream(file_ + ".new")
+            << "[process]\nhost=h-1\nzone=z\naddress=127.0.0.1\npeer-port=" << peerPort_
+            << "\ncallers=127.0.0.1:" << callerPort << "\nreadiness=127.0.0.1:" << readinessPort
+            << "\nadmin-port=" << adminPort
+            << "\ngrace=5s\n[platform]\nstore=127.0.0.1:" << store.port()
+            << "\npromotions=127.0.0.1:" << store.port()
+            << "\n[keys]\npeer-key=a long text for tests\noperator-key-hash="
+            << digestToHex(sha256(operatorKey)) << "\n[log]\nlevel=" << level << "\n"
+            << more;
+        std::rename((file_ + ".new").c_str(), file_.c_str());
+    }
+
+    admin::ProxyClient operatorClient(const std::string &key = operatorKey)
+    {
+        admin::ProxyOptions options;
+        options.proxies = {"127.0.0.1:" + std::to_string(adminPort)};
+        options.key = key;
+        options.timeout = 5s;
+        return admin::ProxyClient(options);
+    }
+
+    std::string metrics()
+    {
+        Caller http(adminPort);
+        http.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        std::string text;
+        for (std::string line = http.line(); line != "closed"; line = http.line())
+            text += line + "\n";
+        return text;
+    }
+
 private:
     void start(int output)
     {
-        const std::string file = "process_test_" + std::to_string(callerPort) + ".ini";
-        std::ofstream(file) << "[process]\nhost=h-1\nzone=z\naddress=127.0.0.1\npeer-port="
-                            << freePort() << "\ncallers=127.0.0.1:" << callerPort
-                            << "\nreadiness=127.0.0.1:" << readinessPort
-                            << "\nadmin-port=" << freePort()
-                            << "\ngrace=5s\n[platform]\nstore=127.0.0.1:" << store.port()
-                            << "\npromotions=127.0.0.1:" << store.port()
-                            << "\n[keys]\npeer-key=a long text for tests\n";
-        process = spawn(file, {}, output);
+        writeSettings("info");
+        process = spawn(file_, {}, output);
     }
 
+    const int peerPort_ = freePort();
+    const std::string file_ = "process_test_" + std::to_string(callerPort) + ".ini";
+
     void waitUntilReady()
     {
         for (int i = 0; i < 500; ++i) {
@@ -338,3 +376,75 @@
     CHECK(WIFEXITED(status));
     CHECK(WEXITSTATUS(status) == 1);
 }
+
+TEST_CASE("Operators see status and configuration of a host, and drain it")
+{
+    Deployment deployment;
+    Caller caller(deployment.callerPort);
+    caller.ask("START main me");
+    caller.ask("QUERY 1 WRITE a1 data");
+    admin::ProxyClient client = deployment.operatorClient();
+    std::ostringstream out;
+    std::ostringstream err;
+    const admin::CtlOutput output {out, err};
+    CHECK(admin::showStatus(client, false, output) == admin::CtlExit::Done);
+    CHECK_THAT(out.str(), Catch::Contains("configuration version 1") && Catch::Contains("h-1")
+                   && Catch::Contains("cases") && Catch::Contains("i-1")
+                   && Catch::Contains("primary"));
+    out.str("");
+    CHECK(admin::showConfiguration(client, 0, output) == admin::CtlExit::Done);
+    CHECK_THAT(out.str(), Catch::Contains(R"("database":"main")")
+                   && Catch::Contains(R"("group":"cases")")
+                   && Catch::Contains(R"("timeout_ms":800)"));
+    admin::ProxyClient stranger = deployment.operatorClient("another key that is long");
+    CHECK(admin::showStatus(stranger, false, output) == admin::CtlExit::Refused);
+    CHECK(admin::drainHost(client, "h-2", output) == admin::CtlExit::Refused);
+    CHECK(deployment.ready() == 200);
+    CHECK(admin::drainHost(client, "h-1", output) == admin::CtlExit::Done);
+    CHECK(deployment.ready() == 503);
+    CHECK(deployment.waitForEnd(6000ms) == 0);
+}
+
+TEST_CASE("Metrics tell where the time of statements goes")
+{
+    Deployment deployment;
+    Caller caller(deployment.callerPort);
+    caller.ask("START main me");
+    caller.ask("QUERY 1 READ a1");
+    const std::string text = deployment.metrics();
+    CHECK_THAT(text, Catch::Contains(R"(kelptally_statement_seconds_count{rule="newest"} 1)")
+                   && Catch::Contains(R"(kelptally_stage_seconds_count{stage="server"} 1)")
+                   && Catch::Contains(R"(kelptally_owner_lease_left_seconds{group="cases"})")
+                   && Catch::Contains(R"(kelptally_owner_connections{group="cases",server="i-1"})"));
+}
+
+TEST_CASE("A settings file that changes without a signal is taken over; a bad one changes nothing")
+{
+    int ends[2];
+    REQUIRE(::pipe(ends) == 0);
+    Deployment deployment(ends[1]);
+    ::close(ends[1]);
+    std::string log;
+    const auto logs = [&](const std::string &part) {
+        char bytes[4096];
+        while (log.find(part) == std::string::npos) {
+            const auto count = ::read(ends[0], bytes, sizeof bytes);
+            if (count <= 0)
+                return false;
+            log.append(bytes, std::size_t(count));
+        }
+        return true;
+    };
+    deployment.writeSettings("loud");
+    CHECK(logs("reload_refused"));
+    deployment.writeSettings("debug");
+    CHECK(logs(R"("event":"reloaded","log_level":"debug","needs_restart":"")"));
+    Caller caller(deployment.callerPort);
+    caller.ask("START main me");
+    caller.ask("QUERY 1 READ a1");
+    CHECK(logs(R"("event":"statement_sent")"));
+    deployment.writeSettings("info", "[limits]\nserver-leave-time=9s\n");
+    CHECK(logs(R"("log_level":"info")"));
+    CHECK(caller.ask("QUERY 2 READ a1") == "DATAROW row-of-a1|COMPLETE sig-2|READY I -");
+    ::close(ends[0]);
+}
