Ends of transactions say which they mean; an ended commit that was sent is in doubt

An entry had sent the end of a lost transaction again on the next link, where the session had begun another one; and the owner said 'not run' of a commit under way when its transaction was ended. Change: an end names the highest statement number that it means; a commit that was sent is in doubt when its transaction is ended. Ruled out: the kept answers (the repeat was answered rightly).

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -112,10 +112,10 @@
     answer(std::move(done));
 }
 
-void GroupHost::endTransaction(inner::LinkId origin, const GroupName &group, std::uint64_t session)
+void GroupHost::endTransaction(inner::LinkId origin, const inner::EndTransaction &end)
 {
-    if (GroupRunner *runner = find(group))
-        runner->endTransaction(origin, session);
+    if (GroupRunner *runner = find(end.group))
+        runner->endTransaction(origin, end);
 }
 
 void GroupHost::onOwnerChanged(const GroupName &group)
@@ -220,7 +220,7 @@
 void GroupHost::onEndTransaction(inner::LinkId link, const inner::EndTransaction &end)
 {
     if (const Entry *entry = entryOf(link))
-        endTransaction(entry->origin, end.group, end.session);
+        endTransaction(entry->origin, end);
 }
 
 GroupHost::Entry *GroupHost::entryOf(inner::LinkId link)
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -49,8 +49,7 @@
 
     void run(inner::LinkId origin, inner::RunStatement statement,
              session::DoneCallback callback) override;
-    void endTransaction(inner::LinkId origin, const GroupName &group,
-                        std::uint64_t session) override;
+    void endTransaction(inner::LinkId origin, const inner::EndTransaction &end) override;
 
     void onOwnerChanged(const GroupName &group) override;
     void onAcquired(const GroupName &group) override;
@@ -100,8 +99,8 @@
         TimerId gone = 0;
         std::unordered_map<inner::RequestId, Answer> answers;
         std::deque<std::pair<Instant, inner::RequestId>> answered;
-        // Numbers only go up. Of those up to this one that have no answer here, nothing is known any
-        // more.
+        // Numbers only go up. Of those up to this one that have no answer here, nothing is known
+        // any more.
         inner::RequestId forgottenUpTo = 0;
         inner::RequestId newest = 0;
     };
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -55,7 +55,7 @@
     ZoneName primaryZone() const;
 
     void run(inner::LinkId origin, inner::RunStatement statement, session::DoneCallback callback);
-    void endTransaction(inner::LinkId origin, std::uint64_t session);
+    void endTransaction(inner::LinkId origin, const inner::EndTransaction &end);
     // The entry is gone: what its sessions have open is rolled back.
     void onOriginGone(inner::LinkId origin);
 
@@ -108,6 +108,8 @@
         ServerName server;
         PooledConnectionPtr connection;
         bool readOnly = false;
+        // Number of the statement that began it.
+        inner::RequestId begunBy = 0;
         // The statement that runs in it; null between statements.
         JobPtr job;
         // Its caller has gone: it ends with the statement that runs.
@@ -141,8 +143,8 @@
     void finish(const JobPtr &job, inner::StatementDone done);
     void onHeldTooLong(const JobPtr &job);
     void onDeadline(const JobPtr &job);
-    void rollBack(const Origin &origin);
-    void giveUpBegin(const Origin &origin);
+    void rollBack(const Origin &origin, inner::RequestId begunBy);
+    void giveUpBegin(const Origin &origin, inner::RequestId begunBy);
     void forgetTransaction(const Origin &origin, bool close);
     void dropServer(const ServerName &id);
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
--- a/src/group/grouprunnertransactions.cpp
+++ b/src/group/grouprunnertransactions.cpp
@@ -1,24 +1,36 @@
 #include "group/grouprunner.h"
 
+#include "session/statementrules.h"
+
+#include <limits>
+
 // The ends of transactions other than by a commit.
 namespace kelptally::group {
 
-void GroupRunner::endTransaction(inner::LinkId origin, std::uint64_t session)
+using session::commits;
+
+void GroupRunner::endTransaction(inner::LinkId origin, const inner::EndTransaction &end)
 {
-    rollBack({origin, session});
+    rollBack({origin, end.session}, end.begunBy);
 }
 
-void GroupRunner::rollBack(const Origin &origin)
+// Ends what a statement of at most this number has begun.
+void GroupRunner::rollBack(const Origin &origin, inner::RequestId begunBy)
 {
     const auto open = transactions_.find(origin);
     if (open == transactions_.end())
-        return giveUpBegin(origin);
-    // 1. While a statement runs in it, only the end of the connection ends it.
+        return giveUpBegin(origin, begunBy);
+    if (open->second.begunBy > begunBy)
+        return;
+    // 1. While a statement runs in it, only the end of the connection ends it; a commit that was
+    // sent may have taken effect.
     if (open->second.job) {
         const JobPtr job = open->second.job;
+        const bool mayStay = job->running && commits(job->statement);
         if (!job->running)
             queue_.remove(job);
-        refuse(job, Reason::TransactionEnded, Executed::No, "the caller ended the transaction");
+        refuse(job, mayStay ? Reason::Unconfirmed : Reason::TransactionEnded,
+               mayStay ? Executed::Unknown : Executed::No, "the caller ended the transaction");
         return forgetTransaction(origin, true);
     }
     // 2. Otherwise the connection is rolled back and used again.
@@ -49,12 +61,13 @@
 }
 
 // The transaction has not begun yet; it must not do so for nobody.
-void GroupRunner::giveUpBegin(const Origin &origin)
+void GroupRunner::giveUpBegin(const Origin &origin, inner::RequestId begunBy)
 {
     std::vector<JobPtr> jobs(queue_.begin(), queue_.end());
     jobs.insert(jobs.end(), running_.begin(), running_.end());
     for (const JobPtr &job : jobs) {
-        if (job->origin != origin || job->statement.begins == inner::TransactionMode::None)
+        if (job->origin != origin || job->statement.begins == inner::TransactionMode::None
+            || job->statement.requestId > begunBy)
             continue;
         if (!job->running)
             queue_.remove(job);
@@ -82,8 +95,9 @@
     for (const auto &[key, transaction] : transactions_)
         if (key.first == origin)
             gone.push_back(key);
+    constexpr auto all = std::numeric_limits<inner::RequestId>::max();
     for (const Origin &key : gone)
-        rollBack(key);
+        rollBack(key, all);
 }
 
 } // namespace kelptally::group
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -282,6 +282,7 @@
 {
     archive.text(m.group, maxNameBytes);
     archive.number(m.session);
+    archive.number(m.begunBy);
 }
 
 template <typename Archive, typename M>
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -322,6 +322,9 @@
 {
     GroupName group;
     std::uint64_t session = 0;
+    // Only what a statement of at most this number has begun: the message may be sent again, when
+    // the session has begun another transaction.
+    RequestId begunBy = 0;
 };
 
 // Asks a process that owes answers whether it still runs; answered at once.
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -97,12 +97,17 @@
     const std::string address = found->second.address;
     transactions_.erase(found);
     if (address.empty())
-        return parts_.local.endTransaction(0, group, session);
-    const inner::EndTransaction end {group, session};
+        return parts_.local.endTransaction(0, endOf(group, session));
+    const inner::EndTransaction end = endOf(group, session);
     static_cast<void>(parts_.links.sendTo(address, end));
     noteEnd(peers_[address], end);
 }
 
+inner::EndTransaction Router::endOf(const GroupName &group, std::uint64_t session) const
+{
+    return {group, session, lastSent_};
+}
+
 // Without a link the owner rolls back by itself, unless the link comes back soon.
 void Router::noteEnd(Peer &peer, const inner::EndTransaction &end)
 {
@@ -183,6 +188,7 @@
     pending.sentAt = now;
     ++pending.attempts;
     pending.statement.timeLeft = std::max(Duration(0), pending.deadline - now);
+    pending.statement.requestId = ++lastSent_;
     if (pending.statement.begins != inner::TransactionMode::None)
         transactions_[pending.statement.session] = {std::string(), pending.statement.group};
     // Answers may come from within the call, and callers expect them later.
@@ -392,7 +398,7 @@
             ++place;
             continue;
         }
-        noteEnd(peers_[address], {place->second.group, place->first});
+        noteEnd(peers_[address], endOf(place->second.group, place->first));
         place = transactions_.erase(place);
     }
     for (const inner::RequestId id : lost)
@@ -405,7 +411,7 @@
     const GroupName group = pending.statement.group;
     const OwnerRef owner {pending.epoch, {pending.address, 0}};
     if (pending.statement.inTransaction && transactions_.erase(pending.statement.session) != 0)
-        noteEnd(peers_[pending.address], {group, pending.statement.session});
+        noteEnd(peers_[pending.address], endOf(group, pending.statement.session));
     leavePeer(pending);
     parts_.log.info("owner_answer_lost", why)
         .with("id", pending.statement.statementId)
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -49,8 +49,7 @@
     // Calls back exactly once; may do so from within the call.
     virtual void run(inner::LinkId origin, inner::RunStatement statement,
                      DoneCallback callback) = 0;
-    virtual void endTransaction(inner::LinkId origin, const GroupName &group,
-                                std::uint64_t session) = 0;
+    virtual void endTransaction(inner::LinkId origin, const inner::EndTransaction &end) = 0;
 };
 
 // Runs some statements without their owner.
@@ -148,6 +147,8 @@
                 Duration retryAfter = {});
     void leavePeer(Pending &pending);
     void onDone(inner::StatementDone done);
+    // The end of whatever the session has begun so far.
+    inner::EndTransaction endOf(const GroupName &group, std::uint64_t session) const;
     void noteEnd(Peer &peer, const inner::EndTransaction &end);
     void resume(const std::string &address, Peer &peer);
     // A link that went a moment ago is likely to come back.
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -59,6 +59,19 @@
     CHECK(acknowledged > 10'000);
 }
 
+TEST_CASE("Schedules with connection faults that failed once pass")
+{
+    constexpr Replay failed[] = {
+        {100744, "the end of a lost transaction was sent again and ended the session's next one"},
+    };
+    for (const Replay &replay : failed) {
+        const model::SoakResult result = model::soak(replay.seed, model::SoakKind::Connections);
+        INFO("seed " << replay.seed << ": " << replay.cause);
+        CHECK(result.violations == std::vector<std::string>());
+        CHECK(result.recovered);
+    }
+}
+
 TEST_CASE("Connections that go silent or are reset among other faults break no promise")
 {
     int acknowledged = 0;
--- a/tests/inner/samplemessages.h
+++ b/tests/inner/samplemessages.h
@@ -117,7 +117,7 @@
         OperatorAnswer {10, Reason::NoPrimary, "detail", 18, true, {group, group}},
         sampleStatement(),
         sampleDone(),
-        EndTransaction {"offers", 5},
+        EndTransaction {"offers", 5, 17},
         AliveRequest {3},
         AliveAnswer {4},
         OwnershipEndRequest {"offers", 6},
