--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -8,23 +8,12 @@
 
 using session::commits;
 using session::continuesTransaction;
-using session::isRead;
 using session::needsPrimary;
 
 namespace {
 
 // Statements that wait in one group. Chosen, not measured: some seconds of a small group's work.
 constexpr std::size_t maxQueued = 512;
-// A read that met so many failing servers is refused.
-constexpr int maxAttempts = 8;
-// Pauses before the same statement is tried again after a server refused it as busy or behind.
-constexpr Duration busyPause = std::chrono::milliseconds(8);
-constexpr Duration behindPause = std::chrono::milliseconds(10);
-constexpr Duration longestBehindPause = std::chrono::milliseconds(160);
-constexpr Duration readOnlyPause = std::chrono::milliseconds(20);
-// What a caller is told to wait when a group has no primary, or is full.
-constexpr Duration primaryHint = std::chrono::milliseconds(400);
-constexpr Duration fullHint = std::chrono::milliseconds(100);
 // How long a statement may wait for a server: one and a half times its route's objective, within
 // these bounds.
 // Longer waits end late, are given up by their callers, and keep others from being in time.
@@ -144,18 +133,22 @@
         server->dropIdle(since);
 }
 
-void GroupRunner::watchSilence()
+// While statements run, their connections are looked at.
+void GroupRunner::watchSoon()
 {
-    const Instant now = parts_.timers.now();
-    for (const auto &[id, server] : servers_)
-        server->watchSilence(now);
-    const bool watched = !running_.empty();
-    watching_ = watched;
-    if (watched)
-        parts_.timers.subscribeAfter(silencePeriod, [this, alive = alive_] {
-            if (*alive)
-                watchSilence();
-        });
+    if (watching_)
+        return;
+    watching_ = true;
+    parts_.timers.subscribeAfter(silencePeriod, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        watching_ = false;
+        const Instant now = parts_.timers.now();
+        for (const auto &[id, server] : servers_)
+            server->watchSilence(now);
+        if (!running_.empty())
+            watchSoon();
+    });
 }
 
 void GroupRunner::closeAll()
@@ -412,353 +405,6 @@
     return true;
 }
 
-// Running
-
-void GroupRunner::start(const JobPtr &job, GroupServer &server,
-                        const PooledConnectionPtr &connection)
-{
-    job->server = server.id();
-    job->connection = connection;
-    job->sentAt = parts_.timers.now();
-    job->running = true;
-    ++job->attempts;
-    server.sent();
-    server.beginWork(*connection, session::mayRepeat(job->statement));
-    running_.push_back(job);
-    if (job->attempts == 1)
-        parts_.times.addQueue(job->sentAt - job->arrived);
-    if (!watching_) {
-        watching_ = true;
-        parts_.timers.subscribeAfter(silencePeriod, [this, alive = alive_] {
-            if (*alive)
-                watchSilence();
-        });
-    }
-    parts_.log.line(LogLevel::Debug, "statement_sent")
-        .with("id", job->statement.statementId)
-        .with("group", group_)
-        .with("server", server.id())
-        .with("needs", job->needs ? positionText(*job->needs) : std::string("-"))
-        .with("shown", server.shown ? positionText(*server.shown) : std::string("-"))
-        .with("waited_ms", job->sentAt - job->arrived);
-    if (job->statement.begins != inner::TransactionMode::None)
-        sendBegin(job);
-    else
-        sendStatement(job);
-}
-
-// Nothing is sent behind a begin before it is answered: after a refused one it would run outside
-// any transaction.
-void GroupRunner::sendBegin(const JobPtr &job)
-{
-    std::vector<ServerCommand> batch =
-        prepareConnection(*job->connection, job->statement, job->values, false);
-    const bool readOnly = job->statement.begins == inner::TransactionMode::ReadOnly;
-    if (job->statement.rule == inner::ReadRule::Newest || !readOnly)
-        job->needs = positions_.newest();
-    ServerCommand begin;
-    begin.kind = readOnly ? CommandKind::BeginReadOnly : CommandKind::Begin;
-    begin.after = job->needs;
-    batch.push_back(begin);
-    const std::size_t expected = batch.size();
-    job->connection->connection->run(std::move(batch),
-                                     [this, alive = alive_, job, expected](BatchResult result) {
-                                         if (*alive)
-                                             onBegun(job, std::move(result), expected);
-                                     });
-}
-
-void GroupRunner::sendStatement(const JobPtr &job)
-{
-    const bool inTransaction = job->statement.inTransaction;
-    if (!inTransaction && isRead(job->statement) && job->statement.rule == inner::ReadRule::Newest)
-        job->needs = positions_.newest();
-    std::vector<ServerCommand> batch =
-        prepareConnection(*job->connection, job->statement, job->values, inTransaction);
-    const bool positioned = !inTransaction && isRead(job->statement);
-    batch.push_back(
-        statementCommand(*job->connection, job->statement, positioned ? job->needs : std::nullopt));
-    const std::size_t expected = batch.size();
-    job->sentAt = parts_.timers.now();
-    if (GroupServer *server = find(job->server))
-        server->beginWork(*job->connection, session::mayRepeat(job->statement));
-    job->connection->connection->run(std::move(batch),
-                                     [this, alive = alive_, job, expected](BatchResult result) {
-                                         if (*alive)
-                                             onResult(job, std::move(result), expected);
-                                     });
-}
-
-void GroupRunner::onBegun(const JobPtr &job, BatchResult result, std::size_t expected)
-{
-    GroupServer *server = find(job->server);
-    if (server != nullptr && !result.results.empty()) {
-        server->heard();
-        learn(*server, result.results.back(), job->sentAt);
-    }
-    if (job->done)
-        return release(job, false);
-    if (result.results.size() < expected)
-        return onConnectionLost(job);
-    const CommandResult &begun = result.results.back();
-    if (begun.error != ServerError::None)
-        return onFailure(job, begun);
-    Transaction transaction;
-    transaction.server = job->server;
-    transaction.connection = job->connection;
-    transaction.readOnly = job->statement.begins == inner::TransactionMode::ReadOnly;
-    transaction.begunBy = job->statement.requestId;
-    transaction.job = job;
-    transactions_[job->origin] = std::move(transaction);
-    sendStatement(job);
-}
-
-void GroupRunner::onResult(const JobPtr &job, BatchResult result, std::size_t expected)
-{
-    GroupServer *server = find(job->server);
-    if (server != nullptr && !result.results.empty()) {
-        server->heard();
-        parts_.times.addServer(parts_.timers.now() - job->sentAt);
-        learn(*server, result.results.back(), job->sentAt);
-    }
-    // Its caller has had its answer: at the deadline, or by leaving.
-    if (job->done) {
-        forgetTransaction(job->origin, true);
-        return release(job, false);
-    }
-    if (result.results.size() < expected)
-        return onConnectionLost(job);
-    for (std::size_t i = 0; i + 1 < expected; ++i)
-        if (result.results[i].error != ServerError::None)
-            return onFailure(job, result.results[i]);
-    const CommandResult &answer = result.results.back();
-    if (answer.error != ServerError::None)
-        return onFailure(job, answer);
-    succeed(job, answer);
-}
-
-// Positions that the answer shows.
-void GroupRunner::learn(GroupServer &server, const CommandResult &result, Instant sent)
-{
-    if (!result.position)
-        return;
-    const Position position = *result.position;
-    if (!server.shown || *server.shown < position || position.term != server.shown->term)
-        server.shown = position;
-    server.shownAt = parts_.timers.now();
-    if (result.error == ServerError::None)
-        server.behindPause = Duration(0);
-    if (server.id() == keeper_.primary()) {
-        positions_.add(sent, position);
-        server.lag = Duration(0);
-        return;
-    }
-    const auto seen = positions_.firstSeen({position.term, position.offset + 1});
-    const Duration behind = seen ? std::max(Duration(0), sent - *seen) : Duration(0);
-    // Rises at once and falls slowly, as a running mean over some ten answers.
-    server.lag = behind > server.lag ? behind : server.lag - (server.lag - behind) / 8;
-}
-
-void GroupRunner::succeed(const JobPtr &job, const CommandResult &result)
-{
-    const bool keeps = commits(job->statement);
-    inner::StatementDone done;
-    // An answer that came after the lease may be that of a replaced primary.
-    if (keeps && !parts_.ownership.leaseHolds(group_)) {
-        done.reason = Reason::LeaseLost;
-        done.executed = Executed::Unknown;
-        done.detail = "the owner's lease ended before the answer came";
-        release(job, false);
-        if (job->statement.inTransaction)
-            forgetTransaction(job->origin, true);
-        return finish(job, std::move(done));
-    }
-    done.executed = Executed::Yes;
-    done.rows = result.rows;
-    done.signature = result.signature;
-    const bool verify = keeps && keeper_.mayBeReplaced();
-    if (keeps && result.position) {
-        done.position = result.position;
-        if (job->server == keeper_.primary() && !verify)
-            keeper_.onAcknowledged(*result.position);
-    }
-    if (job->statement.inTransaction) {
-        const auto open = transactions_.find(job->origin);
-        const bool ended = job->statement.verb == inner::SessionVerb::Commit;
-        if (open != transactions_.end())
-            open->second.job = nullptr;
-        if (ended)
-            transactions_.erase(job->origin);
-        release(job, ended && result.idle);
-    } else {
-        release(job, result.idle);
-    }
-    if (!verify)
-        return finish(job, std::move(done));
-    job->unverified = true;
-    unverified_.push_back({parts_.timers.now(), job, std::move(done)});
-}
-
-// The server refused the statement or what goes before it.
-void GroupRunner::onFailure(const JobPtr &job, const CommandResult &result)
-{
-    GroupServer *server = find(job->server);
-    const Instant now = parts_.timers.now();
-    const bool continues = continuesTransaction(job->statement);
-    const bool read = isRead(job->statement);
-    // 1. What the server's state tells for the next choice.
-    if (server != nullptr && result.error == ServerError::Busy)
-        server->busyUntil = now + busyPause;
-    if (server != nullptr && result.error == ServerError::Lagging) {
-        server->behindPause = std::clamp(2 * server->behindPause, behindPause, longestBehindPause);
-        server->behindUntil = now + server->behindPause;
-        if (server->id() == keeper_.primary())
-            positions_.clear();
-    }
-    if (result.error == ServerError::ReadOnly)
-        keeper_.onReadOnly(job->server);
-    // 2. A transaction that is open: a statement that was only refused can be sent again, any other
-    // error ends it.
-    if (continues || transactions_.count(job->origin) != 0) {
-        const bool again = result.error == ServerError::Busy && result.inTransaction;
-        if (again) {
-            release(job, false);
-            job->statement.begins = inner::TransactionMode::None;
-            return retry(job, Reason::QueueFull, busyPause);
-        }
-        forgetTransaction(job->origin, true);
-        const bool commit = job->statement.verb == inner::SessionVerb::Commit;
-        const bool ran = result.error == ServerError::Failed
-            || result.error == ServerError::TimedOut || result.error == ServerError::Other;
-        if (commit && ran)
-            return refuse(job, Reason::Unconfirmed, Executed::Unknown, result.detail);
-        const bool plain = result.error == ServerError::Failed;
-        return refuse(job, plain ? Reason::StatementFailed : Reason::TransactionEnded, Executed::No,
-                      result.detail);
-    }
-    // 3. Anything else of a known outcome.
-    const bool notRun = result.error == ServerError::Busy || result.error == ServerError::Lagging
-        || result.error == ServerError::ReadOnly || result.error == ServerError::UnknownStatement;
-    if (result.error == ServerError::UnknownStatement)
-        job->connection->prepared.clear();
-    release(job, notRun && result.idle);
-    const bool mayRepeat = notRun || read || job->statement.begins != inner::TransactionMode::None;
-    if (notRun || (mayRepeat && job->attempts < maxAttempts)) {
-        job->avoid.insert(job->server);
-        switch (result.error) {
-        case ServerError::Busy:
-            return retry(job, Reason::QueueFull, Duration(0));
-        case ServerError::Lagging:
-            return retry(job, Reason::PositionNotReached, Duration(0));
-        case ServerError::ReadOnly:
-            return retry(job, Reason::NoPrimary, readOnlyPause);
-        default:
-            return retry(job, Reason::StatementFailed, Duration(0));
-        }
-    }
-    if (result.error == ServerError::TimedOut)
-        return refuse(job, Reason::DeadlineExceeded, read ? Executed::No : Executed::Unknown,
-                      result.detail);
-    refuse(job, Reason::StatementFailed, read ? Executed::No : Executed::Yes, result.detail);
-}
-
-void GroupRunner::onConnectionLost(const JobPtr &job)
-{
-    const bool inTransaction = transactions_.count(job->origin) != 0;
-    const bool commit = job->statement.verb == inner::SessionVerb::Commit;
-    const bool begins = job->statement.begins != inner::TransactionMode::None;
-    parts_.log.info("server_answer_lost")
-        .with("id", job->statement.statementId)
-        .with("group", group_)
-        .with("server", job->server)
-        .with("read", isRead(job->statement));
-    const ServerName server = job->server;
-    release(job, false);
-    if (inTransaction)
-        forgetTransaction(job->origin, true);
-    onTrouble(server, ConnectOutcome::Failed);
-    const bool single = !job->statement.inTransaction;
-    const bool mayRepeat = (single && isRead(job->statement)) || (begins && !commit);
-    if (mayRepeat && job->attempts < maxAttempts) {
-        job->avoid.insert(server);
-        return retry(job, Reason::Unconfirmed, Duration(0));
-    }
-    if (commit || (single && !isRead(job->statement)))
-        return refuse(job, Reason::Unconfirmed, Executed::Unknown, "the server's answer was lost");
-    refuse(job, Reason::TransactionEnded, Executed::No, "the transaction's connection was lost");
-}
-
-// Gives slot and connection back; a connection that is pinned by an open transaction stays.
-void GroupRunner::release(const JobPtr &job, bool reusable)
-{
-    if (!job->running)
-        return;
-    job->running = false;
-    running_.erase(std::find(running_.begin(), running_.end(), job));
-    GroupServer *server = find(job->server);
-    if (server == nullptr)
-        return;
-    server->endWork(*job->connection);
-    const auto open = transactions_.find(job->origin);
-    const bool pinned = open != transactions_.end() && open->second.connection == job->connection;
-    if (!pinned && reusable)
-        server->giveBack(job->connection);
-    else if (!pinned)
-        server->discard(job->connection);
-    if (!pinned)
-        job->connection = nullptr;
-    pumpSoon();
-}
-
-void GroupRunner::retry(const JobPtr &job, Reason why, Duration pause)
-{
-    parts_.metrics.countRetry(why);
-    parts_.log.line(LogLevel::Debug, "statement_retry", reasonInfo(why).name)
-        .with("id", job->statement.statementId)
-        .with("group", group_)
-        .with("server", job->server)
-        .with("attempt", job->attempts);
-    const Instant now = parts_.timers.now();
-    if (!active_ && !continuesTransaction(job->statement))
-        return refuse(job, Reason::NotOwner, Executed::No, "the group has another owner");
-    job->notBefore = now + pause;
-    enqueue(job);
-    pumpSoon();
-}
-
-void GroupRunner::refuse(const JobPtr &job, Reason reason, Executed executed,
-                         const std::string &detail, Duration retryAfter)
-{
-    inner::StatementDone done;
-    done.reason = reason;
-    done.executed = executed;
-    done.detail = detail;
-    done.retryAfter = retryAfter;
-    finish(job, std::move(done));
-}
-
-void GroupRunner::finish(const JobPtr &job, inner::StatementDone done)
-{
-    if (job->done)
-        return;
-    job->done = true;
-    parts_.timers.cancel(job->timer);
-    done.requestId = job->statement.requestId;
-    // What the entry needs for reads of its own.
-    if (active_ && positions_.newest()) {
-        done.logPosition = positions_.newest();
-        done.logAge = parts_.timers.now() - positions_.newestSent();
-    }
-    const auto callback = std::move(job->callback);
-    job->callback = nullptr;
-    callback(std::move(done));
-}
-
-Duration GroupRunner::retryHint() const
-{
-    return keeper_.primary().empty() ? primaryHint : fullHint;
-}
-
 // One that has been sent keeps its time, and one that had to wait for a primary gets its turn once
 // there is one; any other that still waits is refused.
 void GroupRunner::onHeldTooLong(const JobPtr &job)
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -154,7 +154,7 @@
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
     Duration retryHint() const;
     std::optional<Instant> oldestWrite() const;
-    void watchSilence();
+    void watchSoon();
     GroupServer *find(const ServerName &id);
 
     const Parts parts_;
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-const std::string table = "kelptally_owners";
-
-// An owner acts this long after it asked for its row and found it unchanged. Longer than the
-// outages of the store that are usual, so that service goes on through them; it delays a change of
-// primary only when owner and primary are lost together and the owner's end cannot be proven.
-constexpr Duration lease = std::chrono::seconds(12);
-// Clocks of two hosts may run apart by this over one lease: 1%, far above any real drift.
-constexpr Duration clockMargin = std::chrono::milliseconds(120);
 // Longest that one question for changes of owners stays open. Owners are also learnt on the way.
 constexpr Duration feedWait = std::chrono::seconds(20);
 // The row is read this often, so that a lost answer or two leave most of the lease.
@@ -25,16 +17,10 @@
 // A change with no answer may still take effect; the row is looked at so often before giving up.
 constexpr int readBackTries = 20;
 constexpr Duration readBackPause = std::chrono::milliseconds(150);
-constexpr Duration predecessorPeriod = std::chrono::milliseconds(200);
 // Claims of several hosts are spread over this time by a hash of group and host, so that mostly one
 // of them writes. In the primary's zone they come first: statements then cross zones less.
 constexpr Duration claimSpread = std::chrono::milliseconds(60);
 constexpr Duration otherZoneDelay = std::chrono::milliseconds(80);
-// Other processes are asked to take a group this far apart.
-constexpr Duration takeOverPause = std::chrono::milliseconds(500);
-// With less than this part of the lease left, others are asked to take the group while it is
-// served: the store may turn away this process alone.
-constexpr int leasePartsLeft = 3;
 // A claim that the store did not even let read its row is tried again after this pause.
 constexpr Duration claimPause = std::chrono::milliseconds(250);
 // Questions about one group, to the store or to peers, are this far apart.
@@ -503,136 +489,4 @@
           });
 }
 
-// Giving a group to whoever can do more for it
-
-void OwnershipTable::askTakeOver(const GroupName &group, const std::string &reach,
-                                 const std::string &why)
-{
-    Entry &entry = entries_[group];
-    const Instant now = parts_.timers.now();
-    if (!owns(group) || now < entry.askTakeOverAfter)
-        return;
-    entry.askTakeOverAfter = now + takeOverPause;
-    parts_.log.warning("take_over_asked", why)
-        .with("group", group)
-        .with("epoch", entry.record.epoch)
-        .with("lease_left_ms", leaseLeft(group))
-        .with("reach", reach);
-    parts_.tellPeers({group, entry.record.epoch, reach});
-}
-
-void OwnershipTable::takeOver(const GroupName &group, OwnerEpoch epoch)
-{
-    const Entry &entry = entries_[group];
-    if (owns(group) || entry.record.epoch > epoch)
-        return;
-    // The row is read before; the owner asks again.
-    if (entry.record.epoch < epoch)
-        return refreshOwner(group);
-    planClaim(group, "asked", claimDelay(group));
-}
-
-// Leases
-
-void OwnershipTable::renew()
-{
-    for (const GroupName &group : owned()) {
-        if (leaseLeft(group) < lease / leasePartsLeft)
-            askTakeOver(group, std::string(), "lease_runs_out");
-        renewOne(group);
-    }
-}
-
-void OwnershipTable::renewOne(const GroupName &group)
-{
-    const Instant sent = parts_.timers.now();
-    const OwnerEpoch epoch = entries_[group].record.epoch;
-    parts_.table.read(table, group, [this, group, epoch, sent](auto row) {
-        if (!row.ok()) {
-            parts_.log.info("lease_unread")
-                .with("group", group)
-                .with("left_ms", leaseLeft(group))
-                .with("cause", row.status().message());
-            return;
-        }
-        Entry &entry = entries_[group];
-        const auto record = *row ? decodeOwnership((*row)->value) : absl::NotFoundError("no row");
-        if (!record.ok())
-            return;
-        if (record->owner != parts_.self || record->epoch != epoch)
-            return apply(**row);
-        if (entry.record.epoch != epoch)
-            return;
-        entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
-        if (!entry.writing)
-            entry.etag = (*row)->etag;
-        clearGuard(group);
-    });
-}
-
-void OwnershipTable::askPredecessors()
-{
-    asking_ = false;
-    const Instant now = parts_.timers.now();
-    for (auto &[group, entry] : entries_) {
-        if (!entry.predecessor || !owns(group))
-            continue;
-        if (now >= entry.predecessorUntil) {
-            forgetPredecessor(group, entry, "lease_over");
-            continue;
-        }
-        asking_ = true;
-        const ProcessId process = *entry.predecessor;
-        static_cast<void>(parts_.links.sendTo(
-            process.address, inner::OwnershipEndRequest {group, entry.predecessorEpoch}));
-        parts_.probe(process.address, [this, group = group, process](bool refused) {
-            Entry &entry = entries_[group];
-            if (refused && entry.predecessor == process)
-                forgetPredecessor(group, entry, "nothing_listens");
-        });
-    }
-    if (asking_)
-        parts_.timers.subscribeAfter(predecessorPeriod, [this] { askPredecessors(); });
-}
-
-void OwnershipTable::forgetPredecessor(const GroupName &group, Entry &entry,
-                                       const std::string &proof)
-{
-    parts_.log.info("predecessor_ended", proof)
-        .with("group", group)
-        .with("process", entry.predecessor->address);
-    entry.predecessor.reset();
-    clearGuard(group);
-}
-
-// The next owner learns from the row that nobody before this one is left.
-void OwnershipTable::clearGuard(const GroupName &group)
-{
-    const Entry &entry = entries_[group];
-    if (entry.record.guardedUntil != Duration(0) && !entry.writing && isAlone(group))
-        change(
-            group, [](OwnershipRecord &) {}, [](const absl::Status &) {});
-}
-
-void OwnershipTable::onPeerUp(const ProcessId &process)
-{
-    for (auto &[group, entry] : entries_) {
-        if (!entry.known)
-            continue;
-        if (entry.predecessor && entry.predecessor->address == process.address
-            && entry.predecessor->incarnation != process.incarnation)
-            forgetPredecessor(group, entry, "restarted");
-    }
-}
-
-void OwnershipTable::onEnded(const std::string &address, const inner::OwnershipEnded &ended)
-{
-    const auto found = entries_.find(ended.group);
-    if (found == entries_.end() || !found->second.predecessor)
-        return;
-    Entry &entry = found->second;
-    if (entry.predecessor->address == address && entry.predecessorEpoch <= ended.epoch)
-        forgetPredecessor(ended.group, entry, "said_so");
-}
-
 } // namespace kelptally::group
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -121,6 +121,15 @@
     void onEnded(const std::string &address, const inner::OwnershipEnded &ended);
 
 private:
+    static constexpr const char *table = "kelptally_owners";
+    // An owner acts this long after it asked for its row and found it unchanged. Longer than the
+    // outages of the store that are usual, so that service goes on through them; it delays a change
+    // of primary only when owner and primary are lost together and the owner's end cannot be
+    // proven.
+    static constexpr Duration lease = std::chrono::seconds(12);
+    // Clocks of two hosts may run apart by this over one lease: 1%, far above any real drift.
+    static constexpr Duration clockMargin = std::chrono::milliseconds(120);
+
     struct Entry
     {
         OwnershipRecord record;
--- /dev/null
+++ b/src/group/ownershipleases.cpp
@@ -0,0 +1,152 @@
+#include "group/ownership.h"
+
+#include <functional>
+
+// How ownership lasts and ends: leases, the proof that owners before have ended, and giving a group
+// away.
+namespace kelptally::group {
+
+namespace {
+
+constexpr Duration predecessorPeriod = std::chrono::milliseconds(200);
+// Other processes are asked to take a group this far apart.
+constexpr Duration takeOverPause = std::chrono::milliseconds(500);
+// With less than this part of the lease left, others are asked to take the group while it is
+// served: the store may turn away this process alone.
+constexpr int leasePartsLeft = 3;
+
+} // namespace
+
+// Giving a group to whoever can do more for it
+
+void OwnershipTable::askTakeOver(const GroupName &group, const std::string &reach,
+                                 const std::string &why)
+{
+    Entry &entry = entries_[group];
+    const Instant now = parts_.timers.now();
+    if (!owns(group) || now < entry.askTakeOverAfter)
+        return;
+    entry.askTakeOverAfter = now + takeOverPause;
+    parts_.log.warning("take_over_asked", why)
+        .with("group", group)
+        .with("epoch", entry.record.epoch)
+        .with("lease_left_ms", leaseLeft(group))
+        .with("reach", reach);
+    parts_.tellPeers({group, entry.record.epoch, reach});
+}
+
+void OwnershipTable::takeOver(const GroupName &group, OwnerEpoch epoch)
+{
+    const Entry &entry = entries_[group];
+    if (owns(group) || entry.record.epoch > epoch)
+        return;
+    // The row is read before; the owner asks again.
+    if (entry.record.epoch < epoch)
+        return refreshOwner(group);
+    planClaim(group, "asked", claimDelay(group));
+}
+
+// Leases
+
+void OwnershipTable::renew()
+{
+    for (const GroupName &group : owned()) {
+        if (leaseLeft(group) < lease / leasePartsLeft)
+            askTakeOver(group, std::string(), "lease_runs_out");
+        renewOne(group);
+    }
+}
+
+void OwnershipTable::renewOne(const GroupName &group)
+{
+    const Instant sent = parts_.timers.now();
+    const OwnerEpoch epoch = entries_[group].record.epoch;
+    parts_.table.read(table, group, [this, group, epoch, sent](auto row) {
+        if (!row.ok()) {
+            parts_.log.info("lease_unread")
+                .with("group", group)
+                .with("left_ms", leaseLeft(group))
+                .with("cause", row.status().message());
+            return;
+        }
+        Entry &entry = entries_[group];
+        const auto record = *row ? decodeOwnership((*row)->value) : absl::NotFoundError("no row");
+        if (!record.ok())
+            return;
+        if (record->owner != parts_.self || record->epoch != epoch)
+            return apply(**row);
+        if (entry.record.epoch != epoch)
+            return;
+        entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
+        if (!entry.writing)
+            entry.etag = (*row)->etag;
+        clearGuard(group);
+    });
+}
+
+void OwnershipTable::askPredecessors()
+{
+    asking_ = false;
+    const Instant now = parts_.timers.now();
+    for (auto &[group, entry] : entries_) {
+        if (!entry.predecessor || !owns(group))
+            continue;
+        if (now >= entry.predecessorUntil) {
+            forgetPredecessor(group, entry, "lease_over");
+            continue;
+        }
+        asking_ = true;
+        const ProcessId process = *entry.predecessor;
+        static_cast<void>(parts_.links.sendTo(
+            process.address, inner::OwnershipEndRequest {group, entry.predecessorEpoch}));
+        parts_.probe(process.address, [this, group = group, process](bool refused) {
+            Entry &entry = entries_[group];
+            if (refused && entry.predecessor == process)
+                forgetPredecessor(group, entry, "nothing_listens");
+        });
+    }
+    if (asking_)
+        parts_.timers.subscribeAfter(predecessorPeriod, [this] { askPredecessors(); });
+}
+
+void OwnershipTable::forgetPredecessor(const GroupName &group, Entry &entry,
+                                       const std::string &proof)
+{
+    parts_.log.info("predecessor_ended", proof)
+        .with("group", group)
+        .with("process", entry.predecessor->address);
+    entry.predecessor.reset();
+    clearGuard(group);
+}
+
+// The next owner learns from the row that nobody before this one is left.
+void OwnershipTable::clearGuard(const GroupName &group)
+{
+    const Entry &entry = entries_[group];
+    if (entry.record.guardedUntil != Duration(0) && !entry.writing && isAlone(group))
+        change(
+            group, [](OwnershipRecord &) {}, [](const absl::Status &) {});
+}
+
+void OwnershipTable::onPeerUp(const ProcessId &process)
+{
+    for (auto &[group, entry] : entries_) {
+        if (!entry.known)
+            continue;
+        if (entry.predecessor && entry.predecessor->address == process.address
+            && entry.predecessor->incarnation != process.incarnation)
+            forgetPredecessor(group, entry, "restarted");
+    }
+}
+
+void OwnershipTable::onEnded(const std::string &address, const inner::OwnershipEnded &ended)
+{
+    const auto found = entries_.find(ended.group);
+    if (found == entries_.end() || !found->second.predecessor)
+        return;
+    Entry &entry = found->second;
+    if (entry.predecessor->address == address && entry.predecessorEpoch <= ended.epoch)
+        forgetPredecessor(ended.group, entry, "said_so");
+}
+
+} // namespace kelptally::group
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -76,6 +76,11 @@
     void onAcknowledged(Position position);
 
 private:
+    static constexpr Duration reportTimeout = std::chrono::milliseconds(300);
+    static constexpr Duration askPeriod = std::chrono::milliseconds(100);
+    // The candidate leads some hundred ms after the call; longer means that the call was lost.
+    static constexpr Duration leadTimeout = std::chrono::milliseconds(3000);
+
     enum class Step {
         Stopped,
         Looking,
