Lead with the old primary only once its successor is known idle; guards do not add up

Cause: three findings of longer soaks. An owner led with the old primary three seconds after the last call, though the candidate that could not be heard had led and acknowledged. An acknowledgement that came after its server had been given up counted, and the candidate was chosen without it. Change: with a recorded candidate the old primary leads only when the candidate says that it does not; a server that leads without right is told to step down and then compared like the others. Answers of a server that is not the primary any more are in doubt. A group that was claimed on request is not passed on for want of reach, and a row keeps no longer a guard than its owner's own. The candidate's choice is logged with the positions compared. Ruled out: the choice of the highest position (right on what it knew).

--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -169,11 +169,17 @@
 {
     const bool keeps = commits(job->statement);
     inner::StatementDone done;
-    // An answer that came after the lease may be that of a replaced primary.
-    if (keeps && !parts_.ownership.leaseHolds(group_)) {
-        done.reason = Reason::LeaseLost;
+    // An answer that came after the lease, or after its server was given up as the primary, may be
+    // that of a replaced one, and whoever replaces it does not know of it.
+    const auto transaction = transactions_.find(job->origin);
+    const bool onlyRead = transaction != transactions_.end() && transaction->second.readOnly;
+    const bool leaseHolds = parts_.ownership.leaseHolds(group_);
+    const bool givenUp = !onlyRead && job->server != keeper_.primary();
+    if (keeps && (!leaseHolds || givenUp)) {
+        done.reason = leaseHolds ? Reason::Unconfirmed : Reason::LeaseLost;
         done.executed = Executed::Unknown;
-        done.detail = "the owner's lease ended before the answer came";
+        done.detail = leaseHolds ? "its server was given up as the primary before the answer came"
+                                 : "the owner's lease ended before the answer came";
         release(job, false);
         if (job->statement.inTransaction)
             forgetTransaction(job->origin, true);
@@ -182,10 +188,10 @@
     done.executed = Executed::Yes;
     done.rows = result.rows;
     done.signature = result.signature;
-    const bool verify = keeps && keeper_.mayBeReplaced();
+    const bool verify = keeps && !onlyRead && keeper_.mayBeReplaced();
     if (keeps && result.position) {
         done.position = result.position;
-        if (job->server == keeper_.primary() && !verify)
+        if (!onlyRead && !verify)
             keeper_.onAcknowledged(*result.position);
     }
     if (job->statement.inTransaction) {
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -331,6 +331,7 @@
     const bool deadRun = before.owner.address == parts_.self.address;
     if (!before.owner.address.empty() && !deadRun)
         record.guardedUntil = serviceTime + claimTime + lease + clockMargin;
+    entries_[group].claimedAsked = why == asked;
     parts_.log.info("claim", why)
         .with("group", group)
         .with("epoch", record.epoch)
@@ -361,6 +362,7 @@
     Entry &entry = entries_[group];
     const Instant now = parts_.timers.now();
     entry.etag = etag;
+    entry.inheritedGuard = before.guardedUntil;
     entry.predecessor.reset();
     const bool other = !before.owner.address.empty() && before.owner.address != parts_.self.address;
     if (other) {
@@ -456,8 +458,11 @@
         return callback(absl::UnavailableError("another change of the row is under way"));
     OwnershipRecord record = entry.record;
     change(record);
+    // Guards must not add up from owner to owner.
     if (isAlone(group))
         record.guardedUntil = Duration(0);
+    else if (!entry.predecessor)
+        record.guardedUntil = std::min(record.guardedUntil, entry.inheritedGuard);
     const OwnerEpoch epoch = entry.record.epoch;
     write(group, record, entry.etag, true,
           [this, group, record, epoch, callback = std::move(callback)](absl::Status written) {
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -122,6 +122,8 @@
 
 private:
     static constexpr const char *table = "kelptally_owners";
+    // Why a group is claimed: its owner has asked for it.
+    static constexpr const char *asked = "asked";
     // An owner acts this long after it asked for its row and found it unchanged. Longer than the
     // outages of the store that are usual, so that service goes on through them; it delays a change
     // of primary only when owner and primary are lost together and the owner's end cannot be
@@ -147,8 +149,11 @@
         std::optional<ProcessId> predecessor;
         OwnerEpoch predecessorEpoch = 0;
         Instant predecessorUntil {};
-        // Owners before the predecessor.
+        // Owners before the predecessor; by this host's clock, and as their row had it.
         Instant guardedUntil {};
+        Duration inheritedGuard {0};
+        // The group was claimed because its owner asked for it.
+        bool claimedAsked = false;
     };
 
     void onRead();
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -24,7 +24,9 @@
 {
     Entry &entry = entries_[group];
     const Instant now = parts_.timers.now();
-    if (!owns(group) || now < entry.askTakeOverAfter)
+    // One that was asked itself does not pass the group on for the same reason.
+    const bool again = !reach.empty() && entry.claimedAsked;
+    if (!owns(group) || now < entry.askTakeOverAfter || again)
         return;
     entry.askTakeOverAfter = now + takeOverPause;
     parts_.log.warning("take_over_asked", why)
@@ -43,7 +45,7 @@
     // The row is read before; the owner asks again.
     if (entry.record.epoch < epoch)
         return refreshOwner(group);
-    planClaim(group, "asked", claimDelay(group));
+    planClaim(group, asked, claimDelay(group));
 }
 
 // Leases
@@ -123,7 +125,8 @@
 void OwnershipTable::clearGuard(const GroupName &group)
 {
     const Entry &entry = entries_[group];
-    if (entry.record.guardedUntil != Duration(0) && !entry.writing && isAlone(group))
+    const bool lower = !entry.predecessor && entry.inheritedGuard < entry.record.guardedUntil;
+    if (entry.record.guardedUntil != Duration(0) && !entry.writing && (lower || isAlone(group)))
         change(
             group, [](OwnershipRecord &) {}, [](const absl::Status &) {});
 }
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -99,6 +99,8 @@
     GroupServer *old = find(oldPrimary_);
     if (planned_ || old == nullptr || inStep(now) < reachAfter || parts_.ownership.isAlone(group_))
         return;
+    if (now - old->lastHeard() < reachAfter)
+        return;
     parts_.ownership.askTakeOver(group_, old->listed().endpoint, "primary_unreachable");
 }
 
@@ -128,7 +130,7 @@
     const bool leads = report.primary && report.term >= term_;
     // Once a call was sent, only a server of a later term leads.
     if (leads && !planned_ && (!called_ || report.term > term_))
-        return cancelChange(server);
+        return onOtherLeader(*found, report);
     if (leads && server != oldPrimary_)
         return cancelChange(server);
     if (planned_ && server == oldPrimary_) {
@@ -155,6 +157,18 @@
     chooseCandidate(parts_.timers.now());
 }
 
+// A server leads that was not expected to: all goes on there, or it becomes a replica like the
+// others when it was replaced by one that can't be heard now.
+void PrimaryKeeper::onOtherLeader(GroupServer &server, const ServerReport &report)
+{
+    const MayLead may = mayLead(server.id(), report.term);
+    if (may == MayLead::Yes)
+        return cancelChange(server.id());
+    const bool mayChange = parts_.ownership.leaseHolds(group_) && parts_.ownership.isAlone(group_);
+    if (may == MayLead::No && mayChange)
+        ask(server, CommandKind::StepDown, stopTerm_, reportTimeout, [](const ServerReport &) {});
+}
+
 // Whether all replicas but the candidate receive nothing more. One that is neither listed nor
 // running has left for good.
 bool PrimaryKeeper::othersHaveStopped() const
@@ -236,6 +250,15 @@
 {
     if (parts_.timers.now() < recordAfter_)
         return;
+    std::string positions;
+    for (const auto &[id, report] : stopped_)
+        positions += (positions.empty() ? "" : " ") + id + "=" + positionText(report.received);
+    parts_.log.info("candidate_chosen")
+        .with("group", group_)
+        .with("candidate", candidate_)
+        .with("positions", positions)
+        .with("acknowledged", acknowledged_ ? positionText(*acknowledged_) : std::string("-"))
+        .with("knows_all", knowsAll_);
     enter(Step::Recording);
     const std::uint64_t change = change_;
     const ServerName candidate = candidate_;
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -76,6 +76,7 @@
     knowsAll_ = false;
     aloneSince_ = Instant();
     acknowledged_.reset();
+    candidateIdle_ = false;
     if (const OwnershipRecord *record = parts_.ownership.record(group_))
         noteTerm(record->term);
     enter(Step::Looking);
@@ -167,27 +168,53 @@
 
 void PrimaryKeeper::onLookReport(const ServerName &server, const ServerReport &report)
 {
-    const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (step_ != Step::Looking || record == nullptr || !report.primary)
+    if (step_ != Step::Looking)
         return;
+    if (!report.primary)
+        noteIdleCandidate(server);
+    else if (mayLead(server, report.term) == MayLead::Yes)
+        lead(server, report.term);
+}
+
+// A candidate of an earlier change that says it does not lead, once no call can take effect any
+// more, never will.
+void PrimaryKeeper::noteIdleCandidate(const ServerName &server)
+{
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    if (record != nullptr && record->candidate == server && callsAreOver())
+        candidateIdle_ = true;
+}
+
+// No owner before this one can have sent a call that may still take effect, and this one's last
+// call was long ago.
+bool PrimaryKeeper::callsAreOver() const
+{
+    const Instant now = parts_.timers.now();
+    const bool othersOver = aloneSince_ != Instant() && now - aloneSince_ >= leadTimeout;
+    const bool ownOver = calledAt_ == Instant() || now - calledAt_ >= leadTimeout;
+    return othersOver && ownOver;
+}
+
+// Whether everything may go on at a server that says it leads under the term.
+PrimaryKeeper::MayLead PrimaryKeeper::mayLead(const ServerName &server, Term term) const
+{
+    const OwnershipRecord *record = parts_.ownership.record(group_);
     // 1. A primary of a lower term than the row's was replaced.
-    if (report.term < record->term)
-        return;
-    // 2. This owner or one before it has begun a change, and its candidate may lead at any moment.
-    if (!record->candidate.empty()) {
-        const Instant now = parts_.timers.now();
-        // A candidate before the recorded one may have come to lead; the recorded one may yet.
-        const bool isOld = report.term <= record->term || server != record->candidate;
-        // It may still serve at the old primary, so that nobody may acknowledge at another one.
-        if (record->primaryServes && !parts_.ownership.isAlone(group_))
-            return;
-        // Another server leads on only once a call that was sent can't take effect any more.
-        if (isOld && (aloneSince_ == Instant() || now - aloneSince_ < leadTimeout))
-            return;
-        if (isOld && calledAt_ != Instant() && now - calledAt_ < leadTimeout)
-            return;
-    }
-    lead(server, report.term);
+    if (record == nullptr || term < record->term)
+        return MayLead::No;
+    if (record->candidate.empty())
+        return MayLead::Yes;
+    // 2. A change has begun. Its candidate leads if it says so, but for an owner that may still
+    // serve at the old primary, so that nobody may acknowledge at another one.
+    if (record->primaryServes && !parts_.ownership.isAlone(group_))
+        return MayLead::NotYet;
+    if (server == record->candidate && term > record->term)
+        return MayLead::Yes;
+    // 3. Any other server only when the candidate never will, nor has: commits may have been
+    // acknowledged there.
+    if (!callsAreOver())
+        return MayLead::NotYet;
+    return candidateIdle_ ? MayLead::Yes : MayLead::No;
 }
 
 void PrimaryKeeper::lead(const ServerName &server, Term term)
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -95,7 +95,18 @@
 
     void tick();
     void look();
+    enum class MayLead {
+        Yes,
+        // Perhaps later.
+        NotYet,
+        // Only by another change.
+        No,
+    };
+
     void onLookReport(const ServerName &server, const ServerReport &report);
+    void noteIdleCandidate(const ServerName &server);
+    bool callsAreOver() const;
+    MayLead mayLead(const ServerName &server, Term term) const;
     bool listedPrimaryMayAnswer(Instant now) const;
     void lead(const ServerName &server, Term term);
     void watchPrimary(Instant now);
@@ -109,6 +120,7 @@
     void stopReplicas(Instant now);
     void onStopped(const ServerName &server, const ServerReport &report, Instant asked);
     void chooseCandidate(Instant now);
+    void onOtherLeader(GroupServer &server, const ServerReport &report);
     bool othersHaveStopped() const;
     void askForReach(Instant now);
     void abandonPlanned();
@@ -140,6 +152,8 @@
     // was seen after that.
     bool knowsAll_ = false;
     Instant aloneSince_ {};
+    // The candidate that the row names does not lead and never will.
+    bool candidateIdle_ = false;
     std::optional<Position> acknowledged_;
     // The change under way.
     bool planned_ = false;
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -32,6 +32,8 @@
     {21000498, "a new owner led with a server that was not the candidate recorded last"},
     {41000216, "a new owner led with a server that was not the candidate recorded last"},
     {41002864, "a replaced primary's acknowledgement was believed in a planned change"},
+    {23001993, "the old primary led on while a candidate that had led could not be heard"},
+    {23006321, "an acknowledgement came after its server was given up as the primary"},
     {700705, "a write was sent again after its owner had forgotten that it had run"},
 };
 
@@ -68,6 +70,7 @@
 TEST_CASE("Schedules with connection faults that failed once pass")
 {
     constexpr Replay failed[] = {
+        {16, "owners that did not reach a primary passed a group to each other without end"},
         {100744, "the end of a lost transaction was sent again and ended the session's next one"},
     };
     for (const Replay &replay : failed) {
