--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -455,7 +455,7 @@
     if (!owns(group))
         return callback(absl::FailedPreconditionError("not the owner"));
     if (entry.writing)
-        return callback(absl::UnavailableError("another change of the row is under way"));
+        return callback(absl::AbortedError("another change of the row is under way"));
     OwnershipRecord record = entry.record;
     change(record);
     // Guards must not add up from owner to owner.
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -57,13 +57,11 @@
 }
 
 // The server that led last as far as the row tells: whatever was acknowledged there, others have
-// received, so that it need not be heard. A candidate may have led since.
+// received, so that it need not be heard. Empty when a candidate may have led since, or not.
 ServerName PrimaryKeeper::lastLeader() const
 {
     const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (record == nullptr)
-        return {};
-    return record->candidate.empty() ? record->primary : record->candidate;
+    return record == nullptr || !record->candidate.empty() ? ServerName() : record->primary;
 }
 
 void PrimaryKeeper::stopReplicas(Instant now)
@@ -96,7 +94,8 @@
 // act. Another process may reach it.
 void PrimaryKeeper::askForReach(Instant now)
 {
-    GroupServer *old = find(oldPrimary_);
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    GroupServer *old = record == nullptr ? nullptr : find(record->primary);
     if (planned_ || old == nullptr || inStep(now) < reachAfter || parts_.ownership.isAlone(group_))
         return;
     if (now - old->lastHeard() < reachAfter)
@@ -201,8 +200,10 @@
         }
         return recordCandidate();
     }
-    // The highest position among all replicas holds every acknowledged commit. With some unheard,
-    // it does so only if it reaches the highest acknowledgement, and all passed here.
+    // Every acknowledged commit is in two logs: the one of the server that led and another. So the
+    // highest position among all but one server holds them all, and that one is the last leader
+    // where it is known. With more unheard it does so only if it reaches the highest
+    // acknowledgement, and all passed here.
     const ServerReport *best = nullptr;
     std::size_t replicas = 0;
     // One that failed as a candidate still counts by its position: if it holds the most, it is the
@@ -227,7 +228,7 @@
     }
     if (best == nullptr)
         return;
-    const bool allHeard = stopped_.size() >= replicas;
+    const bool allHeard = stopped_.size() + (oldPrimary_.empty() ? 1 : 0) >= replicas;
     const bool holdsAll = knowsAll_ && acknowledged_ && *acknowledged_ <= best->received;
     constexpr Duration waitForAll = std::chrono::milliseconds(60);
     if (allHeard || (holdsAll && inStep(now) >= waitForAll))
@@ -284,7 +285,8 @@
                 .with("group", group_)
                 .with("cause", written.message());
             // With the store away for all nothing can be promoted; the servers are looked at again.
-            parts_.ownership.askTakeOver(group_, std::string(), "candidate_unrecorded");
+            if (!absl::IsAborted(written))
+                parts_.ownership.askTakeOver(group_, std::string(), "candidate_unrecorded");
             recordAfter_ = parts_.timers.now() + recordPause;
             if (planned_)
                 return abandonPlanned();
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -54,6 +54,8 @@
     step_ = step;
     stepSince_ = parts_.timers.now();
     ++change_;
+    if (step == Step::Looking)
+        saidReplica_.clear();
     parts_.log.info("primary_step", stepName(static_cast<int>(step)))
         .with("group", group_)
         .with("primary", primary_)
@@ -159,10 +161,14 @@
 // Whether some server that may lead could still say so.
 bool PrimaryKeeper::listedPrimaryMayAnswer(Instant now) const
 {
-    for (const auto &[id, server] : servers_)
-        if (server->listed().primary && !server->isUnreachable()
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    const bool changing = record != nullptr && !record->candidate.empty() && !callsAreOver();
+    for (const auto &[id, server] : servers_) {
+        const bool saidNo = !changing && saidReplica_.count(id) != 0;
+        if (server->listed().primary && !server->isUnreachable() && !saidNo
             && now - server->lastHeard() < lookFor)
             return true;
+    }
     return false;
 }
 
@@ -170,10 +176,12 @@
 {
     if (step_ != Step::Looking)
         return;
-    if (!report.primary)
+    if (!report.primary) {
+        saidReplica_.insert(server);
         noteIdleCandidate(server);
-    else if (mayLead(server, report.term) == MayLead::Yes)
+    } else if (mayLead(server, report.term) == MayLead::Yes) {
         lead(server, report.term);
+    }
 }
 
 // A candidate of an earlier change that says it does not lead, once no call can take effect any
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -95,6 +95,7 @@
 private:
     friend class ModelConnection;
 
+    const std::vector<LogEntry> &newestLog() const;
     void replicate(const ServerName &primaryId);
     void lead(const ServerName &id);
     void confirm(const ServerName &primaryId);
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -32,6 +32,8 @@
     {21000498, "a new owner led with a server that was not the candidate recorded last"},
     {41000216, "a new owner led with a server that was not the candidate recorded last"},
     {41002864, "a replaced primary's acknowledgement was believed in a planned change"},
+    {14000048, "a listed primary that said it was none was waited for without end"},
+    {14000455, "a candidate that had never led was left out of the comparison"},
     {23001993, "the old primary led on while a candidate that had led could not be heard"},
     {23006321, "an acknowledgement came after its server was given up as the primary"},
     {700705, "a write was sent again after its owner had forgotten that it had run"},
