--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -349,11 +349,10 @@
 void HttpClient::Pool::watchSilence(const JobPtr &job)
 {
     const std::weak_ptr<Pool> weak = shared_from_this();
-    job->silenceTimer =
-        timers_.subscribeAfter(job->request.heldBack + silentAfter, [weak, job] {
-            if (const auto pool = weak.lock())
-                pool->onSilent(job);
-        });
+    job->silenceTimer = timers_.subscribeAfter(job->request.heldBack + silentAfter, [weak, job] {
+        if (const auto pool = weak.lock())
+            pool->onSilent(job);
+    });
 }
 
 void HttpClient::Pool::onSilent(const JobPtr &job)
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -11,8 +11,8 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
-#include <sstream>
 #include <spawn.h>
+#include <sstream>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -388,13 +388,14 @@
     std::ostringstream err;
     const admin::CtlOutput output {out, err};
     CHECK(admin::showStatus(client, false, output) == admin::CtlExit::Done);
-    CHECK_THAT(out.str(), Catch::Contains("configuration version 1") && Catch::Contains("h-1")
+    CHECK_THAT(out.str(),
+               Catch::Contains("configuration version 1") && Catch::Contains("h-1")
                    && Catch::Contains("cases") && Catch::Contains("i-1")
                    && Catch::Contains("primary"));
     out.str("");
     CHECK(admin::showConfiguration(client, 0, output) == admin::CtlExit::Done);
-    CHECK_THAT(out.str(), Catch::Contains(R"("database":"main")")
-                   && Catch::Contains(R"("group":"cases")")
+    CHECK_THAT(out.str(),
+               Catch::Contains(R"("database":"main")") && Catch::Contains(R"("group":"cases")")
                    && Catch::Contains(R"("timeout_ms":800)"));
     admin::ProxyClient stranger = deployment.operatorClient("another key that is long");
     CHECK(admin::showStatus(stranger, false, output) == admin::CtlExit::Refused);
@@ -412,10 +413,12 @@
     caller.ask("START main me");
     caller.ask("QUERY 1 READ a1");
     const std::string text = deployment.metrics();
-    CHECK_THAT(text, Catch::Contains(R"(kelptally_statement_seconds_count{rule="newest"} 1)")
-                   && Catch::Contains(R"(kelptally_stage_seconds_count{stage="server"} 1)")
-                   && Catch::Contains(R"(kelptally_owner_lease_left_seconds{group="cases"})")
-                   && Catch::Contains(R"(kelptally_owner_connections{group="cases",server="i-1"})"));
+    CHECK_THAT(
+        text,
+        Catch::Contains(R"(kelptally_statement_seconds_count{rule="newest"} 1)")
+            && Catch::Contains(R"(kelptally_stage_seconds_count{stage="server"} 1)")
+            && Catch::Contains(R"(kelptally_owner_lease_left_seconds{group="cases"})")
+            && Catch::Contains(R"(kelptally_owner_connections{group="cases",server="i-1"})"));
 }
 
 TEST_CASE("A settings file that changes without a signal is taken over; a bad one changes nothing")
