Test that the lease is checked right before the promotion call

No test noticed that check before. A host stands still between the record of its candidate and the platform's call; another one follows and changes the primary. With the check removed the model's platform sees a fencing token go down (1 after 2).

No functional change

--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -634,3 +634,29 @@
     CHECK(world.group.promotions == 0);
     checkRight(world);
 }
+
+TEST_CASE("An owner that stood still between recording a candidate and the call makes no late call")
+{
+    World world(30);
+    settle(world);
+    for (std::size_t host = 0; host < 3; ++host)
+        REQUIRE(world.timeToWrite(host, 1s));
+    const int owner = world.owner();
+    const ServerName old = world.group.primary();
+    world.group.crash(old);
+    // The candidate is in the row, and the answer to that is on its way.
+    const auto recorded = [&] {
+        const auto &row = world.store.tables["kelptally_owners"].at(world.group.name());
+        return !kelptally::group::decodeOwnership(row.value)->candidate.empty();
+    };
+    REQUIRE(world.runUntil(2s, recorded));
+    world.freeze(std::size_t(owner), 25s);
+    // Another host follows, and changes the primary once the frozen one can't act any more.
+    REQUIRE(world.timeToWrite(otherThan(owner), 22s));
+    const int promotions = world.group.promotions;
+    CHECK(promotions == 1);
+    // The frozen one wakes, and hears that the candidate was recorded.
+    world.run(20s);
+    CHECK(world.group.promotions == promotions);
+    checkRight(world);
+}
