--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <cstdio>
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
@@ -80,6 +81,12 @@
 };
 
 // The real program, before a fake platform.
+// Settings stand in the build tree while a test runs.
+std::string settingsFile(const std::string &name)
+{
+    return std::string(BUILD_DIRECTORY) + "/process_test_" + name + ".ini";
+}
+
 class Deployment
 {
 public:
@@ -103,6 +110,7 @@
             ::waitpid(process, nullptr, 0);
         }
         thread_.stop();
+        std::remove(file_.c_str());
     }
 
     int ready()
@@ -203,7 +211,7 @@
     }
 
     const int peerPort_ = freePort();
-    const std::string file_ = "process_test_" + std::to_string(callerPort) + ".ini";
+    const std::string file_ = settingsFile(std::to_string(callerPort));
 
     void waitUntilReady()
     {
@@ -369,10 +377,12 @@
 
 TEST_CASE("Settings with mistakes are told all at once, and nothing starts")
 {
-    std::ofstream("process_test_bad.ini") << "[process]\nhost=h\n[log]\nlevel=loud\n[odd]\n";
-    const pid_t child = Deployment::spawn("process_test_bad.ini", {"--check"}, -1);
+    const std::string file = settingsFile("bad");
+    std::ofstream(file) << "[process]\nhost=h\n[log]\nlevel=loud\n[odd]\n";
+    const pid_t child = Deployment::spawn(file, {"--check"}, -1);
     int status = 0;
     REQUIRE(::waitpid(child, &status, 0) == child);
+    std::remove(file.c_str());
     CHECK(WIFEXITED(status));
     CHECK(WEXITSTATUS(status) == 1);
 }
