Close connections to servers that nobody has needed for a second

A pool grew to its share and never shrank. Change: connections beyond those opened ahead are closed after a second without use.

--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -16,6 +16,10 @@
 constexpr int leastShare = 3;
 // Opened ahead beyond the slots: connections that rest inside transactions.
 constexpr int spareConnections = 1;
+// A connection that nobody has needed for this long is closed, down to those opened ahead. A server
+// keeps the connections of a host that lost power for some seconds, and the next owner finds no
+// room beside a pool that has once grown to its share: with 16 a server, 1.7 s without a primary.
+constexpr Duration surplusAge = std::chrono::milliseconds(1000);
 // A statement without an answer for this long makes the server be asked whether it runs: sooner
 // when nothing else was heard from the server meanwhile. The longest ones of the users' routes take
 // 220 ms, 1% of them more than 130.
@@ -129,6 +133,20 @@
         return;
     }
     idle_.push_back(connection);
+    closeSurplus();
+}
+
+// Connections are taken from the end, so that the first one has rested longest.
+void GroupServer::closeSurplus()
+{
+    const Instant now = parts_.timers.now();
+    const std::size_t wanted = static_cast<std::size_t>(listed_.slots + spareConnections);
+    while (idle_.size() > wanted && now - idle_.front()->answeredAt >= surplusAge) {
+        const PooledConnectionPtr surplus = idle_.front();
+        idle_.erase(idle_.begin());
+        --total_;
+        surplus->connection->close();
+    }
 }
 
 void GroupServer::discard(const PooledConnectionPtr &connection)
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -118,6 +118,7 @@
 
 private:
     void open();
+    void closeSurplus();
     void onConnected(ConnectOutcome outcome, const ServerConnectionPtr &connection);
     void onIdleEnded(const PooledConnectionPtr &connection);
     void onBusyReport(int busy, Instant asked);
