Hold commits back while they hang, and replace a primary that confirms nothing

Change: CommitWatch (pure) sees that commits hang, lets probes through and keeps the others unsent, where a refusal is true; after 0.7 s the primary is replaced like a lost one, if all replicas answer and no earlier owner can act. Tests: commitwatch_test; two cases in world_test, the first failed before.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -31,7 +31,8 @@
 GroupRunner::GroupRunner(const Parts &parts, const GroupName &group)
     : parts_(parts), group_(group),
       keeper_({parts.timers, parts.ownership, parts.promotions, parts.log, parts.metrics,
-               parts.probe, [this] { return oldestWrite(); }},
+               parts.probe, [this] { return oldestWrite(); },
+               [this] { return commits_.replacementDue(parts_.timers.now()); }},
               group, servers_, *this)
 { }
 
@@ -94,6 +95,7 @@
 {
     active_ = true;
     positions_.clear();
+    commits_.reset();
     for (const auto &[id, server] : servers_)
         server->warmUp();
     keeper_.start();
@@ -127,6 +129,15 @@
     return oldest;
 }
 
+// Leaves something in the log, where a replica must receive it before it is acknowledged.
+bool GroupRunner::needsConfirmation(const JobPtr &job) const
+{
+    if (!options_.synchronous || !commits(job->statement))
+        return false;
+    const auto open = transactions_.find(job->origin);
+    return !job->statement.inTransaction || (open != transactions_.end() && open->second.wrote);
+}
+
 void GroupRunner::dropIdle(Instant since)
 {
     for (const auto &[id, server] : servers_)
@@ -204,6 +215,7 @@
 {
     // Positions of the old primary may hold what the new one does not have.
     positions_.clear();
+    commits_.reset();
     primarySince_ = parts_.timers.now();
     if (GroupServer *primary = find(server))
         primary->warmUp();
@@ -392,6 +404,9 @@
     GroupServer *server = find(transaction.server);
     if (server != nullptr && !server->hasSlot())
         return false;
+    // Unsent it can still be refused as not run.
+    if (needsConfirmation(job) && !commits_.maySend(parts_.timers.now()))
+        return false;
     if (server == nullptr || !transaction.connection->connection->isOpen()) {
         forgetTransaction(job->origin, true);
         parts_.timers.subscribeAt(parts_.timers.now(), [this, alive = alive_, job] {
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "core/metrics.h"
+#include "decision/commitwatch.h"
 #include "decision/positionlog.h"
 #include "group/connectionstate.h"
 #include "group/primarykeeper.h"
@@ -99,6 +100,8 @@
         PooledConnectionPtr connection;
         Instant sentAt;
         bool running = false;
+        // Its acknowledgement is counted by the watch of commits.
+        bool watched = false;
         // Answered by a primary that may have been replaced before.
         bool unverified = false;
         bool done = false;
@@ -111,6 +114,8 @@
         ServerName server;
         PooledConnectionPtr connection;
         bool readOnly = false;
+        // Its commit needs a replica's confirmation.
+        bool wrote = false;
         // Number of the statement that began it.
         inner::RequestId begunBy = 0;
         // The statement that runs in it; null between statements.
@@ -154,6 +159,7 @@
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
     Duration retryHint() const;
     std::optional<Instant> oldestWrite() const;
+    bool needsConfirmation(const JobPtr &job) const;
     void watchSoon();
     GroupServer *find(const ServerName &id);
 
@@ -164,6 +170,7 @@
     GroupServers servers_;
     PrimaryKeeper keeper_;
     decision::PositionLog positions_;
+    decision::CommitWatch commits_;
     // By priority and objective: transactions that are open come first, since they hold
     // connections.
     std::list<JobPtr> queue_;
--- a/src/group/grouprunnerchoice.cpp
+++ b/src/group/grouprunnerchoice.cpp
@@ -33,7 +33,7 @@
     if (!needsPrimary(job->statement))
         return chooseReader(job, now);
     const bool writes = !mayReadAnywhere(job->statement);
-    if (writes && writesHeld_)
+    if (writes && (writesHeld_ || !commits_.maySend(now)))
         return nullptr;
     GroupServer *primary = find(keeper_.primary());
     if (primary == nullptr || !primary->hasSlot() || now < primary->busyUntil
--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -86,6 +86,9 @@
         statementCommand(*job->connection, job->statement, positioned ? job->needs : std::nullopt));
     const std::size_t expected = batch.size();
     job->sentAt = parts_.timers.now();
+    job->watched = needsConfirmation(job) && job->server == keeper_.primary();
+    if (job->watched)
+        commits_.sent(job->sentAt);
     if (GroupServer *server = find(job->server))
         server->beginWork(*job->connection, session::mayRepeat(job->statement));
     job->connection->connection->run(std::move(batch),
@@ -134,6 +137,8 @@
     }
     if (result.results.size() < expected)
         return onConnectionLost(job);
+    if (job->watched && job->server == keeper_.primary())
+        commits_.answered(job->sentAt);
     for (std::size_t i = 0; i + 1 < expected; ++i)
         if (result.results[i].error != ServerError::None)
             return onFailure(job, result.results[i]);
@@ -197,8 +202,11 @@
     if (job->statement.inTransaction) {
         const auto open = transactions_.find(job->origin);
         const bool ended = job->statement.verb == inner::SessionVerb::Commit;
-        if (open != transactions_.end())
+        if (open != transactions_.end()) {
             open->second.job = nullptr;
+            open->second.wrote =
+                open->second.wrote || job->statement.verb == inner::SessionVerb::Write;
+        }
         if (ended)
             transactions_.erase(job->origin);
         release(job, ended && result.idle);
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -11,6 +11,11 @@
 // attempt: the primary can't acknowledge by a stopped replica.
 constexpr Duration plannedStopTime = std::chrono::milliseconds(700);
 constexpr Duration plannedPause = std::chrono::milliseconds(500);
+// A primary that answers but acknowledges nothing leads on when its replicas have not stopped
+// within this time; and is not replaced again for so long, in which its replicas may come back by
+// themselves.
+constexpr Duration replaceStopTime = std::chrono::milliseconds(500);
+constexpr Duration replacePause = std::chrono::seconds(5);
 // Before the candidate is recorded again after the row could not be written; chosen, not measured.
 constexpr Duration recordPause = std::chrono::milliseconds(100);
 // The store takes a change within this time also when it is slow; longer means that it may turn
@@ -92,6 +97,17 @@
     askForReach(now);
     if (step_ == Step::StoppingReplicas && planned_ && inStep(now) >= plannedStopTime)
         abandonPlanned();
+    if (step_ == Step::StoppingReplicas && replacing_ && inStep(now) >= replaceStopTime)
+        endReplacement();
+}
+
+// From now on the old primary leads again if it says so.
+void PrimaryKeeper::endReplacement()
+{
+    parts_.log.info("replacement_abandoned").with("group", group_).with("primary", oldPrimary_);
+    replacing_ = false;
+    replaceAfter_ = parts_.timers.now() + replacePause;
+    askedAt_ = Instant();
 }
 
 // This process can't reach the primary and may not replace it yet, as an owner before it may still
@@ -129,6 +145,8 @@
     GroupServer *found = find(server);
     if (found == nullptr)
         return;
+    if (replacing_ && server == oldPrimary_ && report.term <= term_)
+        return;
     // The old primary is back, or another leads already.
     const bool leads = report.primary && report.term >= term_;
     // Once a call was sent, only a server of a later term leads.
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -75,6 +75,7 @@
     primary_.clear();
     candidate_.clear();
     toSettle_.clear();
+    replacing_ = false;
     knowsAll_ = false;
     aloneSince_ = Instant();
     acknowledged_.reset();
@@ -230,6 +231,7 @@
     primary_ = server;
     term_ = term;
     planned_ = false;
+    replacing_ = false;
     mayLead_ = false;
     noteTerm(term);
     candidate_.clear();
@@ -276,8 +278,13 @@
     if (server->listed().leaving && servers_.size() > 1 && now >= plannedAfter_
         && parts_.ownership.isAlone(group_))
         return beginChange("leaving", true);
+    // 3. One that acknowledges nothing, also after its replicas were looked at.
     watchConfirmations(now);
-    // 3. Silence.
+    if (parts_.commitsHang() && mayReplaceHanging(now)) {
+        replacing_ = true;
+        return beginChange("commits_hang", false);
+    }
+    // 4. Silence.
     const auto owesSince = server->owesSince();
     if (!owesSince) {
         if (now - server->lastHeard() >= quietPeriod)
@@ -309,6 +316,26 @@
             toSettle_.insert(id);
 }
 
+// Only when the change can be made at once: all replicas that there are answer here.
+bool PrimaryKeeper::mayReplaceHanging(Instant now)
+{
+    if (now < replaceAfter_ || servers_.size() < 2 || !parts_.ownership.leaseHolds(group_)
+        || !parts_.ownership.isAlone(group_))
+        return false;
+    const bool ask = now - askedAt_ >= askPeriod;
+    if (ask)
+        askedAt_ = now;
+    bool allHeard = true;
+    for (const auto &[id, server] : servers_) {
+        if (id == primary_ || now - server->lastHeard() < othersWithin)
+            continue;
+        allHeard = false;
+        if (ask)
+            this->ask(*server, CommandKind::Report, 0, reportTimeout, [](const ServerReport &) {});
+    }
+    return allHeard;
+}
+
 void PrimaryKeeper::probePrimary(GroupServer &server)
 {
     probing_ = true;
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -49,6 +49,8 @@
         Prober probe;
         // Since when the oldest write has waited for its server's answer; nothing when none does.
         std::function<std::optional<Instant>()> oldestWrite;
+        // The primary answers, but has acknowledged no commit for so long that another should lead.
+        std::function<bool()> commitsHang;
     };
 
     PrimaryKeeper(const Parts &parts, const GroupName &group, GroupServers &servers,
@@ -133,6 +135,8 @@
     void onCandidateReport(const ServerReport &report, Instant asked);
     void settleOthers();
     void watchConfirmations(Instant now);
+    bool mayReplaceHanging(Instant now);
+    void endReplacement();
     void ask(GroupServer &server, CommandKind kind, Term term, Duration timeout,
              std::function<void(const ServerReport &)> callback);
     void noteTerm(Term term) { highestTerm_ = std::max(highestTerm_, term); }
@@ -171,6 +175,10 @@
     // The row could not be written; not before then again.
     Instant recordAfter_ {};
     ServerName oldPrimary_;
+    // The change replaces a primary that goes on answering, so that its word is no reason to stop;
+    // and when the next such change may begin.
+    bool replacing_ = false;
+    Instant replaceAfter_ {};
     ServerName candidate_;
     // When the replicas other than the candidate had all stopped, in a planned change.
     Instant othersStoppedAt_ {};
--- /dev/null
+++ b/tests/decision/commitwatch_test.cpp
@@ -0,0 +1,103 @@
+#include "decision/commitwatch.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant(100s);
+
+} // namespace
+
+TEST_CASE("Commits that are acknowledged are never held back")
+{
+    CommitWatch watch;
+    for (int i = 0; i < 100; ++i) {
+        const Instant now = start + i * 50ms;
+        REQUIRE(watch.maySend(now));
+        watch.sent(now);
+        watch.answered(now);
+        CHECK_FALSE(watch.isStalled(now + 1s));
+        CHECK_FALSE(watch.replacementDue(now + 1s));
+    }
+}
+
+TEST_CASE("A commit whose answer alone is lost holds nothing back once a later one is acknowledged")
+{
+    CommitWatch watch;
+    watch.sent(start);
+    watch.sent(start + 40ms);
+    watch.answered(start + 40ms);
+    CHECK_FALSE(watch.isStalled(start + 5s));
+    CHECK(watch.maySend(start + 5s));
+    CHECK_FALSE(watch.replacementDue(start + 5s));
+}
+
+TEST_CASE("A lost answer is no reason to replace a primary that nobody writes to")
+{
+    CommitWatch watch;
+    watch.sent(start);
+    CHECK_FALSE(watch.replacementDue(start + 10s));
+    watch.sent(start + 10s);
+    CHECK_FALSE(watch.replacementDue(start + 20s));
+}
+
+// Twenty writes a second want to commit, and no replica receives anything.
+TEST_CASE("While commits hang only probes are sent, and the primary is due to be replaced")
+{
+    CommitWatch watch;
+    int sent = 0;
+    std::optional<Duration> due;
+    for (Duration at {0}; at < 3s; at += 10ms) {
+        const Instant now = start + at;
+        if (at % 50ms == 0ms && watch.maySend(now)) {
+            watch.sent(now);
+            ++sent;
+        }
+        if (!due && watch.replacementDue(now))
+            due = at;
+    }
+    // Three before they are seen to hang, then some probes, the later ones 400 ms apart; all 60
+    // without the watch.
+    CHECK(sent <= 12);
+    REQUIRE(due);
+    CHECK(*due >= 700ms);
+    CHECK(*due < 1s);
+}
+
+TEST_CASE("The first acknowledgement ends the stall")
+{
+    CommitWatch watch;
+    watch.sent(start);
+    watch.sent(start + 50ms);
+    watch.sent(start + 140ms);
+    REQUIRE_FALSE(watch.maySend(start + 160ms));
+    watch.answered(start + 140ms);
+    CHECK(watch.maySend(start + 160ms));
+    CHECK_FALSE(watch.replacementDue(start + 2s));
+}
+
+TEST_CASE("What was sent after the acknowledged one counts from its own sending")
+{
+    CommitWatch watch;
+    watch.sent(start);
+    watch.sent(start + 900ms);
+    watch.answered(start);
+    CHECK_FALSE(watch.isStalled(start + 950ms));
+    CHECK(watch.isStalled(start + 1100ms));
+    CHECK_FALSE(watch.replacementDue(start + 1100ms));
+}
+
+TEST_CASE("Another primary starts anew")
+{
+    CommitWatch watch;
+    for (int i = 0; i < 5; ++i)
+        watch.sent(start + i * 10ms);
+    REQUIRE(watch.replacementDue(start + 1s));
+    watch.reset();
+    CHECK_FALSE(watch.replacementDue(start + 1s));
+    CHECK(watch.maySend(start + 1s));
+}
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace kelptally;
 using namespace kelptally::model;
 using namespace std::chrono_literals;
@@ -207,6 +209,57 @@
     checkRight(world);
 }
 
+TEST_CASE(
+    "A primary whose replicas receive nothing is replaced, and writes go on within two seconds")
+{
+    World world(71);
+    settle(world);
+    const ServerName old = world.group.primary();
+    for (auto &[id, server] : world.group.servers())
+        server.deaf = server.id != old;
+    std::vector<World::OutcomePtr> writes;
+    const auto lasted = [&] { return world.group.primary() != old; };
+    for (int i = 0; i < 60 && !lasted(); ++i) {
+        writes.push_back(world.write(std::size_t(i % 3)));
+        world.run(50ms);
+    }
+    CHECK(lasted());
+    CHECK(world.timeToWrite(0, 1s));
+    // Few were sent to end in doubt; the others waited for the next primary.
+    world.run(2s);
+    const auto inDoubt = std::count_if(writes.begin(), writes.end(), [](const auto &write) {
+        return write->done && write->result.executed == Executed::Unknown;
+    });
+    CHECK(inDoubt <= 8);
+    CHECK(world.group.promotions == 1);
+    checkServed(world, 5);
+    checkRight(world);
+}
+
+TEST_CASE("A primary whose replicas cannot be asked is not replaced for commits that hang")
+{
+    World world(72);
+    settle(world);
+    const ServerName old = world.group.primary();
+    for (auto &[id, server] : world.group.servers()) {
+        server.deaf = server.id != old;
+        if (server.id != old)
+            for (int host = 1; host <= 3; ++host)
+                world.group.cuts.insert({"10.0.0." + std::to_string(host) + ":1", id});
+    }
+    for (int i = 0; i < 40; ++i) {
+        world.write(0);
+        world.run(50ms);
+    }
+    CHECK(world.group.promotions == 0);
+    CHECK(world.group.primary() == old);
+    world.group.cuts.clear();
+    for (auto &[id, server] : world.group.servers())
+        server.deaf = false;
+    CHECK(world.timeToWrite(0, 3s));
+    checkRight(world);
+}
+
 TEST_CASE("While primary and the only replica that has everything are gone nothing is promoted")
 {
     World world(9);
