--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -203,6 +203,17 @@
 {
     pending.address.clear();
     waiting_.push_back(id);
+    searches_[pending.statement.group].onWait(parts_.timers.now());
+}
+
+// A statement of an open transaction can go nowhere else.
+bool Router::isGivenUp(const Pending &pending, Instant now) const
+{
+    if (now >= pending.deadline)
+        return true;
+    const auto search = searches_.find(pending.statement.group);
+    return !continuesTransaction(pending.statement) && search != searches_.end()
+        && now >= search->second.giveUpAt(pending.arrived);
 }
 
 void Router::placeWaiting()
@@ -214,10 +225,10 @@
         const auto found = pending_.find(id);
         if (found == pending_.end())
             continue;
-        if (now < found->second.deadline)
-            place(id);
-        else
+        if (isGivenUp(found->second, now))
             refuse(id, Reason::NoOwner, Executed::No, "no owner answered in time", takeoverTime);
+        else
+            place(id);
     }
 }
 
@@ -253,6 +264,7 @@
             return parts_.owners.learnOwner(group, {done.ownerEpoch, done.owner});
         return parts_.owners.refreshOwner(group);
     }
+    searches_[pending.statement.group].onAnswered();
     const inner::RequestId id = done.requestId;
     finish(id, std::move(done));
 }
@@ -374,6 +386,10 @@
 {
     // What may be repeated need not wait for a link to an owner that has been followed.
     const std::optional<OwnerRef> owner = parts_.owners.owner(group);
+    // An owner that has just written its row lives, so that a link dialled before may be renewed.
+    if (owner && peers_.count(owner->process.address) != 0
+        && parts_.links.linkTo(owner->process.address) == 0)
+        parts_.links.renew(owner->process.address);
     std::vector<inner::RequestId> freed;
     for (const auto &[id, pending] : pending_) {
         const bool elsewhere = !owner || owner->process.address != pending.address;
@@ -481,8 +497,8 @@
         peer.lastAsked = now;
         static_cast<void>(parts_.links.sendTo(address, inner::AliveRequest {++askSequence_}));
     }
-    if (quiet >= renewAfter && peer.downSince == Instant() && !peer.silent) {
-        peer.resend = true;
+    if (quiet >= renewAfter) {
+        peer.resend = peer.resend || peer.downSince == Instant();
         parts_.links.renew(address);
     }
     if (quiet < silentAfter || peer.silent)
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -3,6 +3,7 @@
 #include "core/eventlog.h"
 #include "core/metrics.h"
 #include "core/timerservice.h"
+#include "decision/ownersearch.h"
 #include "inner/peerlink.h"
 #include "session/callersession.h"
 #include "session/stagetimes.h"
@@ -142,6 +143,7 @@
     void runHere(inner::RequestId id, Pending &pending);
     void waitFor(inner::RequestId id, Pending &pending);
     void placeWaiting();
+    bool isGivenUp(const Pending &pending, Instant now) const;
     void finish(inner::RequestId id, inner::StatementDone done);
     void refuse(inner::RequestId id, Reason reason, Executed executed, const std::string &detail,
                 Duration retryAfter = {});
@@ -164,6 +166,7 @@
     const Parts parts_;
     std::unordered_map<inner::RequestId, Pending> pending_;
     std::vector<inner::RequestId> waiting_;
+    std::unordered_map<GroupName, decision::OwnerSearch> searches_;
     std::unordered_map<std::string, Peer> peers_;
     // Where the open transaction of a session is; the address is empty for this process.
     struct Place
