What earlier owners acknowledged counts for the choice of a candidate

Change: everything acknowledged is known only once the primary has shown its log, and counts up to there.

--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -271,9 +271,12 @@
     if (server == nullptr)
         return beginChange("not_listed", false);
     // 1. Everything acknowledged is known once the owner before this one has ended and the primary
-    // has answered after that.
-    if (!knowsAll_ && aloneSince_ != Instant() && server->lastHeard() > aloneSince_ + probeAfter)
+    // has shown its log after that: what earlier owners acknowledged is in it.
+    if (!knowsAll_ && aloneSince_ != Instant() && server->shown
+        && server->shownAt > aloneSince_ + probeAfter) {
         knowsAll_ = true;
+        onAcknowledged(*server->shown);
+    }
     // 2. A leaving primary is replaced while it serves.
     if (server->listed().leaving && servers_.size() > 1 && now >= plannedAfter_
         && parts_.ownership.isAlone(group_))
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -36,6 +36,7 @@
     {14000455, "a candidate that had never led was left out of the comparison"},
     {23001993, "the old primary led on while a candidate that had led could not be heard"},
     {23006321, "an acknowledgement came after its server was given up as the primary"},
+    {82000644, "what an earlier owner had acknowledged did not count for the second change"},
     {700705, "a write was sent again after its owner had forgotten that it had run"},
 };
 
