A replaced primary leads no more when several candidates were named

Cause, found by the soak since primaries that answer are replaced, too: the first candidate led and could not be heard, the second was idle, so that the old primary was led with again and acknowledged what the new one did not have. Two candidates in one change and the first unreachable; before, the old primary was dead in such a case. Change: the row tells that several were named; then only a server of a higher term leads, or another change is made.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -45,6 +45,7 @@
     writer.member("primary", record.primary);
     writer.member("term", record.term);
     writer.member("candidate", record.candidate);
+    writer.member("other_candidates", record.otherCandidates);
     writer.member("primary_serves", record.primaryServes);
     writer.member("lead_ms", std::int64_t(record.leadTime / std::chrono::milliseconds(1)));
     writer.member("guarded_until_ms",
@@ -101,6 +102,8 @@
     if (const JsonValue *term = json->find("term"))
         record.term = static_cast<Term>(term->toInteger());
     record.candidate = json->textOf("candidate");
+    if (const JsonValue *others = json->find("other_candidates"))
+        record.otherCandidates = others->boolean;
     if (const JsonValue *serves = json->find("primary_serves"))
         record.primaryServes = serves->boolean;
     if (const JsonValue *lead = json->find("lead_ms"))
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -25,6 +25,8 @@
     Term term = 0;
     // Named before the platform is told to promote it; it may lead at any moment from then on.
     ServerName candidate;
+    // Another one had been named before it in the same change, and may lead or have led, too.
+    bool otherCandidates = false;
     // The old primary goes on serving under this owner until the candidate leads.
     bool primaryServes = false;
     // Shortest time from the platform's call to a new primary's lead that was seen in the group; 0
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -295,6 +295,8 @@
         group_,
         [candidate, term, serves](OwnershipRecord &row) {
             row.primaryServes = serves;
+            row.otherCandidates =
+                row.otherCandidates || (!row.candidate.empty() && row.candidate != candidate);
             row.candidate = candidate;
             row.term = std::max(row.term, term);
         },
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -179,10 +179,14 @@
         return;
     if (!report.primary) {
         saidReplica_.insert(server);
-        noteIdleCandidate(server);
-    } else if (mayLead(server, report.term) == MayLead::Yes) {
-        lead(server, report.term);
+        return noteIdleCandidate(server);
     }
+    const MayLead may = mayLead(server, report.term);
+    if (may == MayLead::Yes)
+        return lead(server, report.term);
+    // Another one has to be chosen, and this one is not waited for.
+    if (may == MayLead::No)
+        saidReplica_.insert(server);
 }
 
 // A candidate of an earlier change that says it does not lead, once no call can take effect any
@@ -223,6 +227,9 @@
     // acknowledged there.
     if (!callsAreOver())
         return MayLead::NotYet;
+    // Of several candidates one that can't be heard now may have led, under a higher term.
+    if (record->otherCandidates && term <= record->term)
+        return MayLead::No;
     return candidateIdle_ ? MayLead::Yes : MayLead::No;
 }
 
@@ -253,6 +260,7 @@
                 row.primary = server;
                 row.term = term;
                 row.candidate.clear();
+                row.otherCandidates = false;
                 row.primaryServes = false;
             },
             [](const absl::Status &) {});
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -160,7 +160,8 @@
     Instant aloneSince_ {};
     // The candidate that the row names does not lead and never will.
     bool candidateIdle_ = false;
-    // Servers that have said since the search for a primary began that they are none.
+    // Servers that have said since the search for a primary began that they are none, or that may
+    // not lead any more.
     std::set<ServerName> saidReplica_;
     std::optional<Position> acknowledged_;
     // The change under way.
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -37,6 +37,10 @@
     {23001993, "the old primary led on while a candidate that had led could not be heard"},
     {23006321, "an acknowledgement came after its server was given up as the primary"},
     {82000644, "what an earlier owner had acknowledged did not count for the second change"},
+    {94000983,
+     "a replaced primary led again, as the second candidate was idle and the first unheard"},
+    {95000437, "a primary that may not lead any more was waited for without end"},
+    {95000540, "a primary that may not lead any more was waited for without end"},
     {700705, "a write was sent again after its owner had forgotten that it had run"},
 };
 
