--- a/src/services/tablefollower.cpp
+++ b/src/services/tablefollower.cpp
@@ -67,6 +67,16 @@
                         });
 }
 
+void TableFollower::followAfter(Duration pause)
+{
+    if (pause <= Duration(0))
+        return follow();
+    parts_.timers.subscribeAfter(pause, [this, alive = alive_] {
+        if (*alive)
+            follow();
+    });
+}
+
 void TableFollower::onChanges(const absl::StatusOr<TableChanges> &changes)
 {
     if (changes.ok()) {
@@ -79,17 +89,15 @@
                 apply(change.row, changedAfter);
         }
         next_ = changes->next;
-        return follow();
+        return followAfter(changes->changes.empty() ? Duration(0)
+                                                    : pace_.pauseAfterChanges(parts_.timers.now()));
     }
     if (absl::IsOutOfRange(changes.status())) {
         parts_.log.info("history_gone").with("table", table_);
         return readAll();
     }
     note(changes.status());
-    parts_.timers.subscribeAfter(failedPause, [this, alive = alive_] {
-        if (*alive)
-            follow();
-    });
+    followAfter(failedPause);
 }
 
 // Snapshots and changes overtake each other: a version below the known one is old news.
--- a/src/services/tablefollower.h
+++ b/src/services/tablefollower.h
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "core/timerservice.h"
+#include "decision/feedpace.h"
 #include "services/tableservice.h"
 
 #include <functional>
@@ -45,6 +46,7 @@
     void readAll();
     void onSnapshot(const TableSnapshot &snapshot);
     void follow();
+    void followAfter(Duration pause);
     void onChanges(const absl::StatusOr<TableChanges> &changes);
     void apply(const TableRow &news, std::optional<Instant> changedAfter);
     void remove(const std::string &key);
@@ -62,6 +64,7 @@
     std::optional<Duration> answeredAt_;
     // This host's clock less the service's, at the fastest answer so far.
     Duration clockOffset_ {0};
+    decision::FeedPace pace_;
     bool read_ = false;
     bool reachable_ = true;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -14,6 +14,7 @@
 constexpr NumberRange linesRange {1, 1000};
 constexpr DurationRange graceRange {1s, 10min};
 constexpr DurationRange leaveTimeRange {1s, 10min};
+constexpr DurationRange configurationTimeRange {1s, 10min};
 constexpr DurationRange storeTimeoutRange {10ms, 1min};
 constexpr std::size_t leastKeyLength = 16;
 
@@ -56,6 +57,8 @@
 {
     settings.serverLeaveTime =
         reader.duration("server-leave-time", leaveTimeRange, settings.serverLeaveTime);
+    settings.configurationTime =
+        reader.duration("configuration-time", configurationTimeRange, settings.configurationTime);
 }
 
 void readLog(SectionReader &reader, HostSettings &settings)
--- a/src/settings/hostsettings.h
+++ b/src/settings/hostsettings.h
@@ -31,6 +31,9 @@
     // [limits] From a server's report that it leaves until nothing may reach it any more.
     Duration serverLeaveTime {std::chrono::seconds(7)};
 
+    // Within this an accepted configuration has to be in force on every host.
+    Duration configurationTime {std::chrono::seconds(3)};
+
     // [platform]
     std::string store;
     std::string promotions;
