Waiting, placing and repeating of statements are decisions of their own; slots are given back

Cause: on the users' platform GroupRunner decided about order, holding, refusals, placing and repeats between its input and output, untested by itself. Change: slotadmission, positionrouting and statementretry in src/decision, pure; GroupRunner keeps sending and receiving. Found on the way: a statement that failed inside a transaction kept its slot for ever, so that after as many as a server has slots (a primary that steps down, a server that fails part of its requests) its owner sent nothing there any more. Tests: slotadmission_test, positionrouting_test, statementretry_test; 'Statements that fail inside transactions give their slots back' in world_test, which found no write possible after the third transaction before.

--- a/src/decision/feedpace.cpp
+++ b/src/decision/feedpace.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Changes within this time of each other come in a row, and then wait for each other: first so long,
-// and longer the longer the row. News of a configuration have three seconds, and owners are also
-// learnt from other hosts.
+// Changes within this time of each other come in a row, and then wait for each other: first so
+// long, and longer the longer the row. News of a configuration have three seconds, and owners are
+// also learnt from other hosts.
 constexpr Duration rowTime = std::chrono::milliseconds(1200);
 constexpr Duration rowPause = std::chrono::milliseconds(300);
 constexpr int longestRow = 3;
--- /dev/null
+++ b/src/decision/slotadmission.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+
+// How statements wait for a slot of one of a group's servers: in which order, for how long, and
+// what those that are refused are told. Servers have two or three slots; a group whose replicas lag
+// has those of its primary alone, for half more work than they can do.
+namespace kelptally::decision {
+
+// What the order and the limits need of one statement.
+struct WaitingStatement
+{
+    // Of a transaction that is open: it holds a connection that others need.
+    bool continuesTransaction = false;
+    // 0 is the most urgent.
+    int priority = 0;
+    Instant arrived;
+    // Its route's objective ends.
+    Instant due;
+    // Its caller or route gives it up.
+    Instant deadline;
+    // Refused if it has not been sent by then.
+    Instant holdUntil;
+};
+
+// What a statement waits for.
+struct WaitState
+{
+    // It runs, or its acknowledgement is being verified.
+    bool underWay = false;
+    bool needsPrimary = false;
+    // This process owns the group.
+    bool owned = false;
+    bool hasPrimary = false;
+    // When the present primary began to lead.
+    Instant primarySince {};
+};
+
+// The statement that arrived with this objective and deadline.
+WaitingStatement waitingStatement(Instant arrived, Duration objective, Duration timeLeft,
+                                  int priority, bool continuesTransaction);
+
+bool goesBefore(const WaitingStatement &a, const WaitingStatement &b, Instant now);
+
+// When the statement is given up, as things are now.
+Instant giveUpAt(const WaitingStatement &statement, const WaitState &state, Instant now);
+
+bool isQueueFull(std::size_t queued);
+
+// What a refused caller is told to wait.
+Duration retryHint(bool hasPrimary);
+
+} // namespace kelptally::decision
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -12,15 +12,6 @@
 
 namespace {
 
-// Statements that wait in one group. Chosen, not measured: some seconds of a small group's work.
-constexpr std::size_t maxQueued = 512;
-// How long a statement may wait for a server: one and a half times its route's objective, within
-// these bounds.
-// Longer waits end late, are given up by their callers, and keep others from being in time.
-constexpr Duration leastHold = std::chrono::milliseconds(250);
-constexpr Duration longestHold = std::chrono::milliseconds(2000);
-// By how much a statement that is not late yet goes before its turn.
-constexpr Duration inTimeBonus = std::chrono::milliseconds(500);
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
 // While statements run, their connections are looked at this often.
@@ -278,9 +269,9 @@
     job->statement = std::move(statement);
     job->origin = {origin, job->statement.session};
     job->callback = std::move(callback);
-    job->arrived = now;
-    job->deadline = now + job->statement.timeLeft;
-    job->due = now + job->statement.objective;
+    job->waiting =
+        decision::waitingStatement(now, job->statement.objective, job->statement.timeLeft,
+                                   job->statement.priority, continuesTransaction(job->statement));
     job->values = valuesOf(job->statement);
     if (continuesTransaction(job->statement)) {
         const auto open = transactions_.find(job->origin);
@@ -291,12 +282,10 @@
     } else if (!active_) {
         return refuse(job, Reason::NotOwner, Executed::No, "the group has another owner");
     }
-    if (queue_.size() >= maxQueued && !continuesTransaction(job->statement))
+    if (decision::isQueueFull(queue_.size()) && !continuesTransaction(job->statement))
         return refuse(job, Reason::QueueFull, Executed::No, "the queue of the group is full",
-                      retryHint());
-    const Duration hold = std::clamp(job->statement.objective * 3 / 2, leastHold, longestHold);
-    job->holdUntil = std::min(job->deadline, now + hold);
-    job->timer = parts_.timers.subscribeAt(job->holdUntil, [this, alive = alive_, job] {
+                      decision::retryHint(!keeper_.primary().empty()));
+    job->timer = parts_.timers.subscribeAt(job->waiting.holdUntil, [this, alive = alive_, job] {
         if (*alive)
             onHeldTooLong(job);
     });
@@ -309,20 +298,13 @@
     queue_.push_back(job);
 }
 
-// Open transactions hold connections that others need, so they go on first. Then by the routes'
-// priority, and by the time at which each would be given up; one that can still be answered within
-// its objective goes before one that is late already.
 void GroupRunner::sortQueue(Instant now)
 {
     if (queue_.size() < 2)
         return;
-    const auto rank = [now](const JobPtr &job) {
-        const bool late = now > job->due;
-        return std::make_tuple(continuesTransaction(job->statement) ? 0 : 1,
-                               job->statement.priority,
-                               late ? job->deadline : job->deadline - inTimeBonus);
-    };
-    queue_.sort([&](const JobPtr &a, const JobPtr &b) { return rank(a) < rank(b); });
+    queue_.sort([now](const JobPtr &a, const JobPtr &b) {
+        return decision::goesBefore(a->waiting, b->waiting, now);
+    });
 }
 
 void GroupRunner::pumpSoon()
@@ -420,20 +402,23 @@
     return true;
 }
 
-// One that has been sent keeps its time, and one that had to wait for a primary gets its turn once
-// there is one; any other that still waits is refused.
+decision::WaitState GroupRunner::waitState(const JobPtr &job) const
+{
+    decision::WaitState state;
+    state.underWay = job->running || job->unverified;
+    state.needsPrimary = needsPrimary(job->statement);
+    state.owned = active_;
+    state.hasPrimary = !keeper_.primary().empty();
+    state.primarySince = primarySince_;
+    return state;
+}
+
 void GroupRunner::onHeldTooLong(const JobPtr &job)
 {
     if (job->done)
         return;
     const Instant now = parts_.timers.now();
-    Instant limit = now;
-    if (job->running || job->unverified)
-        limit = job->deadline;
-    else if (active_ && needsPrimary(job->statement))
-        limit = keeper_.primary().empty() ? job->deadline
-                                          : primarySince_ + (job->holdUntil - job->arrived);
-    limit = std::min(limit, job->deadline);
+    const Instant limit = decision::giveUpAt(job->waiting, waitState(job), now);
     if (limit <= now)
         return onDeadline(job);
     job->timer = parts_.timers.subscribeAt(limit, [this, alive = alive_, job] {
@@ -455,9 +440,9 @@
         const auto open = transactions_.find(job->origin);
         if (open != transactions_.end() && open->second.job == job)
             forgetTransaction(job->origin, true);
-        const bool noPrimary = keeper_.primary().empty();
-        return refuse(job, noPrimary ? Reason::NoPrimary : Reason::DeadlineTooShort, Executed::No,
-                      "no server was free in time", retryHint());
+        const bool hasPrimary = !keeper_.primary().empty();
+        return refuse(job, hasPrimary ? Reason::DeadlineTooShort : Reason::NoPrimary, Executed::No,
+                      "no server was free in time", decision::retryHint(hasPrimary));
     }
     // 2. It runs: the connection is given up with it.
     const bool kept = commits(job->statement);
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -4,6 +4,9 @@
 #include "core/metrics.h"
 #include "decision/commitwatch.h"
 #include "decision/positionlog.h"
+#include "decision/positionrouting.h"
+#include "decision/slotadmission.h"
+#include "decision/statementretry.h"
 #include "group/connectionstate.h"
 #include "group/primarykeeper.h"
 #include "session/catalogue.h"
@@ -83,12 +86,7 @@
         Origin origin;
         session::DoneCallback callback;
         SessionValues values;
-        Instant arrived;
-        Instant deadline;
-        // Refused if it has not been sent by then.
-        Instant holdUntil;
-        // Objectives met first; see the queue.
-        Instant due;
+        decision::WaitingStatement waiting;
         // Position that a read needs, once it has been worked out.
         std::optional<Position> needs;
         // Servers that have failed it.
@@ -126,6 +124,9 @@
 
     void enqueue(const JobPtr &job);
     void sortQueue(Instant now);
+    decision::WaitState waitState(const JobPtr &job) const;
+    decision::FailedStatement failed(const JobPtr &job) const;
+    void follow(const JobPtr &job, const decision::Verdict &verdict, const std::string &detail);
     void pump();
     void pumpSoon();
     bool tryStart(const JobPtr &job, Instant now);
@@ -133,8 +134,7 @@
     GroupServer *chooseServer(const JobPtr &job, Instant now);
     GroupServer *chooseReader(const JobPtr &job, Instant now);
     bool hasLeft(const GroupServer &server, Instant now) const;
-    bool mayHold(const GroupServer &server, Position needed, Instant now) const;
-    std::optional<Position> positionNeeded(const JobPtr &job, Instant now);
+    decision::ServerState stateOf(const GroupServer &server, const JobPtr &job, Instant now) const;
     void start(const JobPtr &job, GroupServer &server, const PooledConnectionPtr &connection);
     void sendBegin(const JobPtr &job);
     void sendStatement(const JobPtr &job);
@@ -157,7 +157,6 @@
     void forgetTransaction(const Origin &origin, bool close);
     void dropServer(const ServerName &id);
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
-    Duration retryHint() const;
     std::optional<Instant> oldestWrite() const;
     bool needsConfirmation(const JobPtr &job) const;
     void watchSoon();
--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -11,21 +11,6 @@
 using session::continuesTransaction;
 using session::isRead;
 
-namespace {
-
-// A read that met so many failing servers is refused.
-constexpr int maxAttempts = 8;
-// Pauses before the same statement is tried again after a server refused it as busy or behind.
-constexpr Duration busyPause = std::chrono::milliseconds(8);
-constexpr Duration behindPause = std::chrono::milliseconds(10);
-constexpr Duration longestBehindPause = std::chrono::milliseconds(160);
-constexpr Duration readOnlyPause = std::chrono::milliseconds(20);
-// What a caller is told to wait when a group has no primary, or is full.
-constexpr Duration primaryHint = std::chrono::milliseconds(400);
-constexpr Duration fullHint = std::chrono::milliseconds(100);
-
-} // namespace
-
 void GroupRunner::start(const JobPtr &job, GroupServer &server,
                         const PooledConnectionPtr &connection)
 {
@@ -38,7 +23,7 @@
     server.beginWork(*connection, session::mayRepeat(job->statement));
     running_.push_back(job);
     if (job->attempts == 1)
-        parts_.times.addQueue(job->sentAt - job->arrived);
+        parts_.times.addQueue(job->sentAt - job->waiting.arrived);
     watchSoon();
     parts_.log.line(LogLevel::Debug, "statement_sent")
         .with("id", job->statement.statementId)
@@ -46,7 +31,7 @@
         .with("server", server.id())
         .with("needs", job->needs ? positionText(*job->needs) : std::string("-"))
         .with("shown", server.shown ? positionText(*server.shown) : std::string("-"))
-        .with("waited_ms", job->sentAt - job->arrived);
+        .with("waited_ms", job->sentAt - job->waiting.arrived);
     if (job->statement.begins != inner::TransactionMode::None)
         sendBegin(job);
     else
@@ -219,74 +204,72 @@
     unverified_.push_back({parts_.timers.now(), job, std::move(done)});
 }
 
+decision::FailedStatement GroupRunner::failed(const JobPtr &job) const
+{
+    decision::FailedStatement statement;
+    statement.read = isRead(job->statement);
+    statement.commit = job->statement.verb == inner::SessionVerb::Commit;
+    statement.single = !job->statement.inTransaction;
+    statement.begins = job->statement.begins != inner::TransactionMode::None;
+    statement.inTransaction =
+        continuesTransaction(job->statement) || transactions_.count(job->origin) != 0;
+    statement.attempts = job->attempts;
+    return statement;
+}
+
+void GroupRunner::follow(const JobPtr &job, const decision::Verdict &verdict,
+                         const std::string &detail)
+{
+    if (verdict.again)
+        return retry(job, verdict.reason, verdict.pause);
+    refuse(job, verdict.reason, verdict.executed, detail);
+}
+
 // The server refused the statement or what goes before it.
 void GroupRunner::onFailure(const JobPtr &job, const CommandResult &result)
 {
     GroupServer *server = find(job->server);
     const Instant now = parts_.timers.now();
-    const bool continues = continuesTransaction(job->statement);
-    const bool read = isRead(job->statement);
     // 1. What the server's state tells for the next choice.
     if (server != nullptr && result.error == ServerError::Busy)
-        server->busyUntil = now + busyPause;
+        server->busyUntil = now + decision::busyPause();
     if (server != nullptr && result.error == ServerError::Lagging) {
-        server->behindPause = std::clamp(2 * server->behindPause, behindPause, longestBehindPause);
+        server->behindPause = decision::nextBehindPause(server->behindPause);
         server->behindUntil = now + server->behindPause;
         if (server->id() == keeper_.primary())
             positions_.clear();
     }
     if (result.error == ServerError::ReadOnly)
         keeper_.onReadOnly(job->server);
-    // 2. A transaction that is open: a statement that was only refused can be sent again, any other
-    // error ends it.
-    if (continues || transactions_.count(job->origin) != 0) {
-        const bool again = result.error == ServerError::Busy && result.inTransaction;
-        if (again) {
-            release(job, false);
+    // 2. What follows for the statement.
+    decision::FailedStatement statement = failed(job);
+    statement.error = result.error;
+    statement.stillOpen = result.inTransaction;
+    const decision::Verdict verdict = decision::onServerError(statement);
+    // 3. Its connection: kept by an open transaction, used again when its state is known.
+    if (statement.inTransaction) {
+        // The slot is free in any case.
+        release(job, false);
+        if (verdict.endsTransaction)
+            forgetTransaction(job->origin, true);
+        // What was begun is open; only the statement itself is sent again.
+        if (verdict.again)
             job->statement.begins = inner::TransactionMode::None;
-            return retry(job, Reason::QueueFull, busyPause);
-        }
-        forgetTransaction(job->origin, true);
-        const bool commit = job->statement.verb == inner::SessionVerb::Commit;
-        const bool ran = result.error == ServerError::Failed
-            || result.error == ServerError::TimedOut || result.error == ServerError::Other;
-        if (commit && ran)
-            return refuse(job, Reason::Unconfirmed, Executed::Unknown, result.detail);
-        const bool plain = result.error == ServerError::Failed;
-        return refuse(job, plain ? Reason::StatementFailed : Reason::TransactionEnded, Executed::No,
-                      result.detail);
+        return follow(job, verdict, result.detail);
     }
-    // 3. Anything else of a known outcome.
-    const bool notRun = result.error == ServerError::Busy || result.error == ServerError::Lagging
-        || result.error == ServerError::ReadOnly || result.error == ServerError::UnknownStatement;
     if (result.error == ServerError::UnknownStatement)
         job->connection->prepared.clear();
+    const bool notRun = result.error == ServerError::Busy || result.error == ServerError::Lagging
+        || result.error == ServerError::ReadOnly || result.error == ServerError::UnknownStatement;
     release(job, notRun && result.idle);
-    const bool mayRepeat = notRun || read || job->statement.begins != inner::TransactionMode::None;
-    if (notRun || (mayRepeat && job->attempts < maxAttempts)) {
+    if (verdict.again)
         job->avoid.insert(job->server);
-        switch (result.error) {
-        case ServerError::Busy:
-            return retry(job, Reason::QueueFull, Duration(0));
-        case ServerError::Lagging:
-            return retry(job, Reason::PositionNotReached, Duration(0));
-        case ServerError::ReadOnly:
-            return retry(job, Reason::NoPrimary, readOnlyPause);
-        default:
-            return retry(job, Reason::StatementFailed, Duration(0));
-        }
-    }
-    if (result.error == ServerError::TimedOut)
-        return refuse(job, Reason::DeadlineExceeded, read ? Executed::No : Executed::Unknown,
-                      result.detail);
-    refuse(job, Reason::StatementFailed, read ? Executed::No : Executed::Yes, result.detail);
+    follow(job, verdict, result.detail);
 }
 
 void GroupRunner::onConnectionLost(const JobPtr &job)
 {
-    const bool inTransaction = transactions_.count(job->origin) != 0;
-    const bool commit = job->statement.verb == inner::SessionVerb::Commit;
-    const bool begins = job->statement.begins != inner::TransactionMode::None;
+    const decision::Verdict verdict = decision::onAnswerLost(failed(job));
     parts_.log.info("server_answer_lost")
         .with("id", job->statement.statementId)
         .with("group", group_)
@@ -294,18 +277,13 @@
         .with("read", isRead(job->statement));
     const ServerName server = job->server;
     release(job, false);
-    if (inTransaction)
-        forgetTransaction(job->origin, true);
+    forgetTransaction(job->origin, true);
     onTrouble(server, ConnectOutcome::Failed);
-    const bool single = !job->statement.inTransaction;
-    const bool mayRepeat = (single && isRead(job->statement)) || (begins && !commit);
-    if (mayRepeat && job->attempts < maxAttempts) {
+    if (verdict.again)
         job->avoid.insert(server);
-        return retry(job, Reason::Unconfirmed, Duration(0));
-    }
-    if (commit || (single && !isRead(job->statement)))
-        return refuse(job, Reason::Unconfirmed, Executed::Unknown, "the server's answer was lost");
-    refuse(job, Reason::TransactionEnded, Executed::No, "the transaction's connection was lost");
+    follow(job, verdict,
+           verdict.executed == Executed::Unknown ? "the server's answer was lost"
+                                                 : "the transaction's connection was lost");
 }
 
 // Gives slot and connection back; a connection that is pinned by an open transaction stays.
@@ -374,9 +352,4 @@
     callback(std::move(done));
 }
 
-Duration GroupRunner::retryHint() const
-{
-    return keeper_.primary().empty() ? primaryHint : fullHint;
-}
-
 } // namespace kelptally::group
--- a/src/group/serverport.h
+++ b/src/group/serverport.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/types.h"
+#include "decision/statementretry.h"
 
 #include <functional>
 #include <memory>
@@ -50,19 +51,7 @@
     Term term = 0;
 };
 
-enum class ServerError {
-    None,
-    // These did not run.
-    Busy,
-    Lagging,
-    ReadOnly,
-    UnknownStatement,
-    // These ran.
-    Failed,
-    TimedOut,
-    // Anything else, by its text.
-    Other,
-};
+using decision::ServerError;
 
 // What a server says of itself.
 struct ServerReport
--- /dev/null
+++ b/tests/decision/positionrouting_test.cpp
@@ -0,0 +1,131 @@
+#include "decision/positionrouting.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant(100s);
+
+// The primary showed position n at start + n * 10 ms.
+PositionLog shownLog()
+{
+    PositionLog log;
+    for (std::uint64_t n = 1; n <= 100; ++n)
+        log.add(start + n * 20ms, {1, n});
+    return log;
+}
+
+ServerState replica(std::uint64_t shown, Instant at)
+{
+    ServerState state;
+    state.free = true;
+    state.reachable = true;
+    state.slots = 2;
+    state.shown = Position {1, shown};
+    state.shownAt = at;
+    return state;
+}
+
+ServerState primary()
+{
+    ServerState state = replica(100, start + 2s);
+    state.primary = true;
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("A read names the position that its rule asks for")
+{
+    const PositionLog log = shownLog();
+    const Instant now = start + 2s;
+    ReadBound bound;
+    bound.newest = true;
+    CHECK(positionNeeded(log, bound, now, now) == log.newest());
+    bound.newest = false;
+    bound.maxAge = 1s;
+    const auto aged = positionNeeded(log, bound, now, now);
+    REQUIRE(aged);
+    CHECK(Position {1, 49} < *aged);
+    CHECK(*aged < *log.newest());
+    bound.own = Position {1, 90};
+    CHECK(positionNeeded(log, bound, now, now) == bound.own);
+    // Nothing was asked since: only the primary is known to be right.
+    bound.maxAge = Duration(0);
+    CHECK_FALSE(positionNeeded(log, bound, now + 1s, now + 1s));
+}
+
+TEST_CASE("Replicas that hold the position go before the primary, until they are busier")
+{
+    const PositionLog log = shownLog();
+    const Instant now = start + 2s;
+    std::vector<ServerState> servers {primary(), replica(60, now), replica(60, now)};
+    CHECK(chooseReader(servers, log, Position {1, 50}, false, now) == 1u);
+    servers[1].inFlight = 1;
+    CHECK(chooseReader(servers, log, Position {1, 50}, false, now) == 2u);
+    servers[2].inFlight = 1;
+    CHECK(chooseReader(servers, log, Position {1, 50}, false, now) == 0u);
+}
+
+// Two of three servers lag by seconds: what they cannot hold goes to the primary at once.
+TEST_CASE("A lagging replica takes only what it holds")
+{
+    const PositionLog log = shownLog();
+    const Instant now = start + 2s;
+    std::vector<ServerState> servers {primary(), replica(10, now), replica(10, now)};
+    for (ServerState &server : servers)
+        server.lag = server.primary ? Duration(0) : 3s;
+    CHECK(chooseReader(servers, log, Position {1, 90}, false, now) == 0u);
+    CHECK(chooseReader(servers, log, Position {1, 9}, false, now) != 0u);
+    // Without a free slot there it waits.
+    servers[0].free = false;
+    CHECK_FALSE(chooseReader(servers, log, Position {1, 90}, false, now));
+}
+
+TEST_CASE("A replica that has shown nothing for a while is tried, but not right after a refusal")
+{
+    const PositionLog log = shownLog();
+    const Instant now = start + 2s;
+    std::vector<ServerState> servers {replica(10, now - 100ms)};
+    CHECK(chooseReader(servers, log, Position {1, 90}, false, now) == 0u);
+    servers[0].behindUntil = now + 10ms;
+    CHECK_FALSE(chooseReader(servers, log, Position {1, 90}, false, now));
+}
+
+TEST_CASE("Servers that leave, cannot be reached or have failed the read come last or not at all")
+{
+    const PositionLog log = shownLog();
+    const Instant now = start + 2s;
+    const Position needed {1, 50};
+    std::vector<ServerState> servers {replica(60, now), replica(60, now)};
+    servers[0].leaving = true;
+    CHECK(chooseReader(servers, log, needed, false, now) == 1u);
+    servers[1].leaving = true;
+    CHECK(chooseReader(servers, log, needed, false, now) == 0u);
+    servers[0].left = true;
+    CHECK(chooseReader(servers, log, needed, false, now) == 1u);
+    servers = {replica(60, now), replica(60, now)};
+    servers[0].failed = true;
+    CHECK(chooseReader(servers, log, needed, false, now) == 1u);
+    servers[1].reachable = false;
+    CHECK(chooseReader(servers, log, needed, false, now) == 0u);
+}
+
+TEST_CASE("A primary that is about to be replaced takes no reads")
+{
+    const PositionLog log = shownLog();
+    const std::vector<ServerState> servers {primary()};
+    CHECK(chooseReader(servers, log, std::nullopt, false, start + 2s) == 0u);
+    CHECK_FALSE(chooseReader(servers, log, std::nullopt, true, start + 2s));
+}
+
+TEST_CASE("A leaving server gets nothing shortly before its time")
+{
+    CHECK_FALSE(hasLeft(start, 7s, start + 6s));
+    CHECK(hasLeft(start, 7s, start + 6600ms));
+    CHECK(hasLeft(Instant(), 7s, start));
+}
--- /dev/null
+++ b/tests/decision/slotadmission_test.cpp
@@ -0,0 +1,125 @@
+#include "decision/slotadmission.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace kelptally;
+using namespace kelptally::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant(100s);
+
+WaitingStatement arrived(Duration after, Duration objective = 200ms, int priority = 2)
+{
+    return waitingStatement(start + after, objective, 800ms, priority, false);
+}
+
+WaitState waiting()
+{
+    WaitState state;
+    state.owned = true;
+    state.hasPrimary = true;
+    state.primarySince = start - 1h;
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("A statement waits for a slot one and a half objectives, within bounds and its deadline")
+{
+    CHECK(arrived(0ms).holdUntil == start + 300ms);
+    CHECK(arrived(0ms, 50ms).holdUntil == start + 250ms);
+    CHECK(waitingStatement(start, 5s, 10s, 1, false).holdUntil == start + 2s);
+    CHECK(waitingStatement(start, 500ms, 100ms, 1, false).holdUntil == start + 100ms);
+    CHECK(giveUpAt(arrived(0ms), waiting(), start) == start + 300ms);
+    CHECK(giveUpAt(arrived(0ms), waiting(), start + 300ms) <= start + 300ms);
+}
+
+TEST_CASE("A statement that runs keeps its whole time")
+{
+    WaitState state = waiting();
+    state.underWay = true;
+    CHECK(giveUpAt(arrived(0ms), state, start + 300ms) == start + 800ms);
+}
+
+TEST_CASE("What needs a primary waits for one, and then gets its turn")
+{
+    WaitState state = waiting();
+    state.needsPrimary = true;
+    state.hasPrimary = false;
+    CHECK(giveUpAt(arrived(0ms), state, start + 300ms) == start + 800ms);
+    state.hasPrimary = true;
+    state.primarySince = start + 250ms;
+    CHECK(giveUpAt(arrived(0ms), state, start + 300ms) == start + 550ms);
+    // Not beyond its deadline.
+    state.primarySince = start + 700ms;
+    CHECK(giveUpAt(arrived(0ms), state, start + 750ms) == start + 800ms);
+    // Another owner's group: nothing to wait for.
+    state.owned = false;
+    CHECK(giveUpAt(arrived(0ms), state, start + 300ms) <= start + 300ms);
+}
+
+TEST_CASE("Open transactions go first, then priority, then what can still be in time")
+{
+    const Instant now = start + 250ms;
+    const WaitingStatement old = arrived(0ms);
+    const WaitingStatement fresh = arrived(100ms);
+    WaitingStatement urgent = arrived(200ms, 100ms, 1);
+    WaitingStatement open = arrived(240ms);
+    open.continuesTransaction = true;
+    CHECK(goesBefore(open, urgent, now));
+    CHECK(goesBefore(urgent, fresh, now));
+    CHECK(goesBefore(fresh, old, now));
+    CHECK_FALSE(goesBefore(old, fresh, now));
+    // In time both: who is given up first.
+    CHECK(goesBefore(old, fresh, start + 110ms));
+}
+
+// Two slots of 9 ms each, 260 statements a second: a sixth more than can be done, for three
+// seconds.
+TEST_CASE("At overload the order keeps most of what is served in time")
+{
+    const auto servedInTime = [](const auto &before) {
+        std::vector<WaitingStatement> queue;
+        std::vector<Instant> slots(2, start);
+        int inTime = 0;
+        for (Duration at {0}; at < 3s; at += 1ms) {
+            const Instant now = start + at;
+            if (at % 3846us < 1ms)
+                queue.push_back(arrived(at));
+            queue.erase(std::remove_if(queue.begin(), queue.end(),
+                                       [&](const auto &each) {
+                                           return giveUpAt(each, waiting(), now) <= now;
+                                       }),
+                        queue.end());
+            for (Instant &slot : slots) {
+                if (slot > now || queue.empty())
+                    continue;
+                const auto next =
+                    std::min_element(queue.begin(), queue.end(), [&](const auto &a, const auto &b) {
+                        return before(a, b, now);
+                    });
+                slot = now + 9ms;
+                inTime += slot <= next->due ? 1 : 0;
+                queue.erase(next);
+            }
+        }
+        return inTime;
+    };
+    const int ranked = servedInTime(goesBefore);
+    const int firstCome =
+        servedInTime([](const auto &a, const auto &b, Instant) { return a.arrived < b.arrived; });
+    CHECK(ranked > firstCome);
+}
+
+TEST_CASE("A full queue takes nothing more, and refused callers are told when to come back")
+{
+    CHECK_FALSE(isQueueFull(100));
+    CHECK(isQueueFull(100'000));
+    CHECK(retryHint(true) > Duration(0));
+    CHECK(retryHint(false) > retryHint(true));
+}
--- a/tests/host/world_test.cpp
+++ b/tests/host/world_test.cpp
@@ -264,6 +264,26 @@
     checkRight(world);
 }
 
+TEST_CASE("Statements that fail inside transactions give their slots back")
+{
+    World world(74);
+    settle(world);
+    ModelServer &primary = world.group.servers().at(world.group.primary());
+    // More than the server has slots.
+    for (std::uint64_t session = 1; session <= 6; ++session) {
+        const auto begun = world.begin(0, session);
+        REQUIRE(world.runUntil(1s, [&] { return begun->done; }));
+        REQUIRE(begun->result.reason == Reason::None);
+        primary.primary = false;
+        const auto committed = world.commit(0, session);
+        REQUIRE(world.runUntil(1s, [&] { return committed->done; }));
+        CHECK(committed->result.reason != Reason::None);
+        primary.primary = true;
+        REQUIRE(world.timeToWrite(0, 2s));
+    }
+    checkServed(world, 5);
+}
+
 TEST_CASE("A primary whose replicas cannot be asked is not replaced for commits that hang")
 {
     World world(72);
