Rank by what can still be in time, with the time that servers take learnt by kind

Cause: the replay of an overload of a sixth (slotadmission_test) served 294 of 780 statements in time, as many as by arrival: the order took first what was about to miss its objective, and late ones before it. Change: what can be answered within its objective, by its kind's usual service time, goes before what cannot, each by its time. 667 of 780 in time, all that the slots can do.

--- a/src/decision/slotadmission.cpp
+++ b/src/decision/slotadmission.cpp
@@ -16,8 +16,10 @@
 constexpr int holdDenominator = 2;
 constexpr Duration leastHold = std::chrono::milliseconds(250);
 constexpr Duration longestHold = std::chrono::milliseconds(2000);
-// By how much a statement that is not late yet goes before its turn.
-constexpr Duration inTimeBonus = std::chrono::milliseconds(500);
+// Weights of RFC 6298, as shifts; and how many deviations most samples are within.
+constexpr int meanShare = 8;
+constexpr int deviationShare = 4;
+constexpr int deviations = 1;
 // What a caller is told to wait when a group has no primary, or is full.
 constexpr Duration primaryHint = std::chrono::milliseconds(400);
 constexpr Duration fullHint = std::chrono::milliseconds(100);
@@ -39,15 +41,40 @@
     return statement;
 }
 
+void ServiceTimes::add(Duration objective, int priority, Duration sample)
+{
+    const auto [kind, isNew] = kinds_.try_emplace({objective, priority});
+    Estimate &estimate = kind->second;
+    if (isNew) {
+        estimate = {sample, sample / 2};
+        return;
+    }
+    const Duration error = sample - estimate.mean;
+    estimate.deviation += (std::max(error, -error) - estimate.deviation) / deviationShare;
+    estimate.mean += error / meanShare;
+}
+
+Duration ServiceTimes::usual(Duration objective, int priority) const
+{
+    const auto kind = kinds_.find({objective, priority});
+    if (kind == kinds_.end())
+        return Duration(0);
+    return kind->second.mean + deviations * kind->second.deviation;
+}
+
 // Open transactions hold connections that others need, so they go on first. Then by the routes'
-// priority, and by the time at which each would be given up; one that can still be answered within
-// its objective goes before one that is late already.
+// priority; then what can still be answered within its objective before what cannot, and by the
+// time at which each would be late, or given up.
+//
+// The load it answers: a sixth more than two slots can do. In the order of arrival, and also with a
+// bonus for what is in time that knew nothing of the time that servers take, 38% were in time; with
+// this, 86% (the replay in slotadmission_test).
 bool goesBefore(const WaitingStatement &a, const WaitingStatement &b, Instant now)
 {
     const auto rank = [now](const WaitingStatement &statement) {
-        const bool late = now > statement.due;
-        return std::make_tuple(statement.continuesTransaction ? 0 : 1, statement.priority,
-                               late ? statement.deadline : statement.deadline - inTimeBonus);
+        const bool late = now + statement.service > statement.due;
+        return std::make_tuple(statement.continuesTransaction ? 0 : 1, statement.priority, late,
+                               late ? statement.deadline : statement.due);
     };
     return rank(a) < rank(b);
 }
--- a/src/decision/slotadmission.h
+++ b/src/decision/slotadmission.h
@@ -3,6 +3,8 @@
 #include "core/clock.h"
 
 #include <cstddef>
+#include <map>
+#include <utility>
 
 // How statements wait for a slot of one of a group's servers: in which order, for how long, and
 // what those that are refused are told. Servers have two or three slots; a group whose replicas lag
@@ -19,12 +21,33 @@
     Instant arrived;
     // Its route's objective ends.
     Instant due;
+    // How long a server takes for its kind, most of the time.
+    Duration service {0};
     // Its caller or route gives it up.
     Instant deadline;
     // Refused if it has not been sent by then.
     Instant holdUntil;
 };
 
+// How long servers take for statements of each kind: those of one objective and priority. Mean and
+// mean deviation, as TCP estimates round trips (RFC 6298).
+class ServiceTimes
+{
+public:
+    void add(Duration objective, int priority, Duration sample);
+    // What most of them take; zero before the first one.
+    Duration usual(Duration objective, int priority) const;
+
+private:
+    struct Estimate
+    {
+        Duration mean {0};
+        Duration deviation {0};
+    };
+
+    std::map<std::pair<Duration, int>, Estimate> kinds_;
+};
+
 // What a statement waits for.
 struct WaitState
 {
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -272,6 +272,7 @@
     job->waiting =
         decision::waitingStatement(now, job->statement.objective, job->statement.timeLeft,
                                    job->statement.priority, continuesTransaction(job->statement));
+    job->waiting.service = serviceTimes_.usual(job->statement.objective, job->statement.priority);
     job->values = valuesOf(job->statement);
     if (continuesTransaction(job->statement)) {
         const auto open = transactions_.find(job->origin);
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -170,6 +170,7 @@
     PrimaryKeeper keeper_;
     decision::PositionLog positions_;
     decision::CommitWatch commits_;
+    decision::ServiceTimes serviceTimes_;
     // By priority and objective: transactions that are open come first, since they hold
     // connections.
     std::list<JobPtr> queue_;
--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -112,7 +112,9 @@
     GroupServer *server = find(job->server);
     if (server != nullptr && !result.results.empty()) {
         server->heard();
-        parts_.times.addServer(parts_.timers.now() - job->sentAt);
+        const Duration took = parts_.timers.now() - job->sentAt;
+        parts_.times.addServer(took);
+        serviceTimes_.add(job->statement.objective, job->statement.priority, took);
         learn(*server, result.results.back(), job->sentAt);
     }
     // Its caller has had its answer: at the deadline, or by leaving.
--- a/tests/decision/slotadmission_test.cpp
+++ b/tests/decision/slotadmission_test.cpp
@@ -83,14 +83,17 @@
 // seconds.
 TEST_CASE("At overload the order keeps most of what is served in time")
 {
+    constexpr int asked = 780;
     const auto servedInTime = [](const auto &before) {
         std::vector<WaitingStatement> queue;
         std::vector<Instant> slots(2, start);
         int inTime = 0;
         for (Duration at {0}; at < 3s; at += 1ms) {
             const Instant now = start + at;
-            if (at % 3846us < 1ms)
+            if (at % 3846us < 1ms) {
                 queue.push_back(arrived(at));
+                queue.back().service = 9ms;
+            }
             queue.erase(std::remove_if(queue.begin(), queue.end(),
                                        [&](const auto &each) {
                                            return giveUpAt(each, waiting(), now) <= now;
@@ -113,7 +116,24 @@
     const int ranked = servedInTime(goesBefore);
     const int firstCome =
         servedInTime([](const auto &a, const auto &b, Instant) { return a.arrived < b.arrived; });
-    CHECK(ranked > firstCome);
+    // All that two slots can do are 667; by arrival 294.
+    INFO(ranked << " and " << firstCome << " of " << asked);
+    CHECK(10 * ranked > 8 * asked);
+    CHECK(10 * firstCome < 5 * asked);
+}
+
+TEST_CASE("What a kind of statement usually takes is learnt for each kind")
+{
+    ServiceTimes times;
+    CHECK(times.usual(200ms, 2) == Duration(0));
+    for (int i = 0; i < 100; ++i) {
+        times.add(200ms, 2, i % 2 == 0 ? 8ms : 10ms);
+        times.add(300ms, 2, 30ms);
+    }
+    CHECK(times.usual(200ms, 2) > 8ms);
+    CHECK(times.usual(200ms, 2) < 12ms);
+    CHECK(times.usual(300ms, 2) >= 29ms);
+    CHECK(times.usual(200ms, 1) == Duration(0));
 }
 
 TEST_CASE("A full queue takes nothing more, and refused callers are told when to come back")
