--- /dev/null
+++ b/src/decision/claimorder.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+
+namespace kelptally::decision {
+
+// What decides how soon a host claims a group whose owner is gone: of several that want to, the one
+// that claims first has it.
+struct Claimant
+{
+    // Between 0 and 1, another for each pair of host and group: mostly one of the hosts writes.
+    double draw = 0;
+    // In the zone of the group's primary, so that statements cross zones less.
+    bool nearPrimary = false;
+    // Groups that it owns already.
+    std::size_t owned = 0;
+    // Processor cores that the host may use, as a fraction.
+    double processors = 1;
+};
+
+Duration claimDelay(const Claimant &claimant);
+
+} // namespace kelptally::decision
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -28,6 +28,8 @@
         PrimaryKeeper::Prober probe;
         ProcessId self;
         ZoneName zone;
+        // Processor cores that this host may use.
+        double processors;
         // Asks other processes who owns the group.
         std::function<void(const GroupName &)> askPeers;
         std::function<void(const inner::TakeOver &)> tellPeers;
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -1,6 +1,7 @@
 #include "group/ownership.h"
 
 #include "core/json.h"
+#include "decision/claimorder.h"
 
 #include <algorithm>
 #include <functional>
@@ -18,14 +19,6 @@
 // A change with no answer may still take effect; the row is looked at so often before giving up.
 constexpr int readBackTries = 20;
 constexpr Duration readBackPause = std::chrono::milliseconds(150);
-// Claims of several hosts are spread over this time by a hash of group and host, so that mostly one
-// of them writes. In the primary's zone they come first: statements then cross zones less.
-constexpr Duration claimSpread = std::chrono::milliseconds(60);
-constexpr Duration otherZoneDelay = std::chrono::milliseconds(80);
-// And later by this much for each group that the host owns already, so that the loss of one host
-// stalls few groups: three of three stood still for 3 s where one host had them all.
-constexpr Duration ownedDelay = std::chrono::milliseconds(50);
-constexpr std::size_t mostOwnedDelays = 4;
 // A claim that the store did not even let read its row is tried again after this pause.
 constexpr Duration claimPause = std::chrono::milliseconds(250);
 // Questions about one group, to the store or to peers, are this far apart.
@@ -314,12 +307,14 @@
 
 Duration OwnershipTable::claimDelay(const GroupName &group) const
 {
-    const std::size_t hash = std::hash<std::string>()(group + "/" + parts_.self.address);
     constexpr std::size_t steps = 64;
-    const Duration spread = claimSpread * static_cast<int>(hash % steps) / static_cast<int>(steps);
-    const Duration load = ownedDelay * static_cast<int>(std::min(owned().size(), mostOwnedDelays));
-    const bool near = parts_.primaryZone(group) == parts_.zone;
-    return spread + load + (near ? Duration(0) : otherZoneDelay);
+    const std::size_t hash = std::hash<std::string>()(group + "/" + parts_.self.address);
+    decision::Claimant claimant;
+    claimant.draw = static_cast<double>(hash % steps) / static_cast<double>(steps);
+    claimant.nearPrimary = parts_.primaryZone(group) == parts_.zone;
+    claimant.owned = owned().size();
+    claimant.processors = parts_.processors;
+    return decision::claimDelay(claimant);
 }
 
 void OwnershipTable::planClaim(const GroupName &group, const std::string &why, Duration delay)
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -72,6 +72,8 @@
         EventLog &log;
         ProcessId self;
         ZoneName zone;
+        // Processor cores that this host may use.
+        double processors;
         // Whether nothing listens at a process's address.
         std::function<void(const std::string &address, std::function<void(bool refused)>)> probe;
         // Asks other processes who owns the group; what they know comes to learnOwner().
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -50,7 +50,7 @@
     TimerService &timers = ports_.timers;
     groups_ = std::make_unique<group::GroupHost>(group::GroupHost::Parts {
         timers, *links_, ports_.table, ports_.feed, ports_.connector, ports_.promotions, ports_.log,
-        ports_.metrics, times_, ports_.probe, self_, settings_.zone,
+        ports_.metrics, times_, ports_.probe, self_, settings_.zone, settings_.processors,
         [this](const GroupName &group) {
             for (const auto &[link, address] : linkAddresses_)
                 static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -3,6 +3,8 @@
 #include "core/eventlog.h"
 #include "settings/sectionparts.h"
 
+#include <absl/strings/numbers.h>
+
 namespace kelptally::settings {
 
 namespace {
@@ -16,8 +18,22 @@
 constexpr DurationRange leaveTimeRange {1s, 10min};
 constexpr DurationRange configurationTimeRange {1s, 10min};
 constexpr DurationRange storeTimeoutRange {10ms, 1min};
+constexpr double leastProcessors = 0.01;
+constexpr double mostProcessors = 1024;
 constexpr std::size_t leastKeyLength = 16;
 
+double readProcessors(SectionReader &reader, double fallback)
+{
+    if (!reader.has("processors"))
+        return fallback;
+    double processors = 0;
+    const bool valid = absl::SimpleAtod(reader.text("processors"), &processors)
+        && processors >= leastProcessors && processors <= mostProcessors;
+    if (!valid)
+        reader.add("processors", "not a number from 0.01 to 1024");
+    return valid ? processors : fallback;
+}
+
 void readProcess(SectionReader &reader, HostSettings &settings)
 {
     settings.host = reader.name("host");
@@ -29,6 +45,7 @@
     settings.adminPort = reader.number("admin-port", portRange);
     settings.maxSessions = reader.number("max-sessions", sessionRange, settings.maxSessions);
     settings.grace = reader.duration("grace", graceRange, settings.grace);
+    settings.processors = readProcessors(reader, settings.processors);
     if (settings.adminPort == settings.peerPort)
         reader.add("admin-port", "the same port as peer-port");
 }
@@ -93,6 +110,8 @@
     compare("readiness", running.readiness.toText(), wanted.readiness.toText());
     compare("admin-port", running.adminPort, wanted.adminPort);
     compare("max-sessions", running.maxSessions, wanted.maxSessions);
+    compare("processors", running.processors, wanted.processors);
+    compare("configuration-time", running.configurationTime, wanted.configurationTime);
     compare("store", running.store, wanted.store);
     compare("promotions", running.promotions, wanted.promotions);
     compare("store-timeout", running.storeTimeout, wanted.storeTimeout);
--- a/src/settings/hostsettings.h
+++ b/src/settings/hostsettings.h
@@ -25,6 +25,8 @@
     Endpoint readiness;
     int adminPort = 0;
     int maxSessions = 3500;
+    // Processor cores that this host may use, as a fraction; groups go to hosts with room.
+    double processors = 1;
     // From the request to stop until the process is killed.
     Duration grace {std::chrono::seconds(6)};
 
--- /dev/null
+++ b/tests/decision/claimorder_test.cpp
@@ -0,0 +1,50 @@
+#include "decision/claimorder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+Claimant host(double processors, bool near, std::size_t owned, double draw = 0.5)
+{
+    Claimant claimant;
+    claimant.draw = draw;
+    claimant.nearPrimary = near;
+    claimant.owned = owned;
+    claimant.processors = processors;
+    return claimant;
+}
+
+} // namespace
+
+TEST_CASE("Equal hosts differ by their draw, and the one near the primary comes first")
+{
+    CHECK(claimDelay(host(0.25, true, 0, 0.0)) == Duration(0));
+    CHECK(claimDelay(host(0.25, true, 0, 0.1)) < claimDelay(host(0.25, true, 0, 0.9)));
+    CHECK(claimDelay(host(0.25, true, 0, 1.0)) < claimDelay(host(0.25, false, 0, 0.0)));
+}
+
+TEST_CASE("A host with groups claims after one without")
+{
+    CHECK(claimDelay(host(0.25, true, 2, 0.0)) > claimDelay(host(0.25, true, 0, 1.0)));
+    // Also one of another zone, after three.
+    CHECK(claimDelay(host(0.25, true, 3, 0.5)) > claimDelay(host(0.25, false, 0, 0.5)));
+    CHECK(claimDelay(host(0.25, true, 1000)) == claimDelay(host(0.25, true, 4)));
+}
+
+// 77 hosts, eight with half a core, two of them in each zone; eight groups.
+TEST_CASE("Hosts with room come before small ones, and share the groups")
+{
+    CHECK(claimDelay(host(0.5, true, 0, 1.0)) < claimDelay(host(0.12, true, 0, 0.0)));
+    CHECK(claimDelay(host(0.5, false, 0, 0.1)) < claimDelay(host(0.12, true, 0, 0.0)));
+    CHECK(claimDelay(host(0.5, true, 1, 0.5)) < claimDelay(host(0.12, true, 0, 0.5)));
+    CHECK(claimDelay(host(0.5, true, 2, 0.5)) < claimDelay(host(0.25, true, 2, 0.5)));
+}
+
+TEST_CASE("No claim waits for long")
+{
+    CHECK(claimDelay(host(0.01, false, 1000, 1.0)) < 500ms);
+}
--- /dev/null
+++ b/tests/settings/hostsettings_test.cpp
@@ -0,0 +1,50 @@
+#include "settings/hostsettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::settings;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string file(const std::string &process, const std::string &limits)
+{
+    return "[process]\nhost=h\nzone=z\naddress=127.0.0.1\npeer-port=7000\n"
+           "callers=127.0.0.1:7001\nreadiness=127.0.0.1:7002\nadmin-port=7003\n"
+        + process + "[limits]\n" + limits
+        + "[platform]\nstore=127.0.0.1:7004\npromotions=127.0.0.1:7005\n"
+          "[keys]\npeer-key=a long enough peer key\n";
+}
+
+} // namespace
+
+TEST_CASE("A host's room and bounds have defaults and are read")
+{
+    Findings findings;
+    const HostSettings plain = parseHostSettings("h.ini", file("", ""), findings);
+    INFO(findings.toText());
+    REQUIRE(findings.empty());
+    CHECK(plain.processors == 1);
+    CHECK(plain.configurationTime == 3s);
+    const HostSettings set = parseHostSettings(
+        "h.ini", file("processors=0.12\n", "configuration-time=5000ms\n"), findings);
+    REQUIRE(findings.empty());
+    CHECK(set.processors == Approx(0.12));
+    CHECK(set.configurationTime == 5s);
+    CHECK(changedForRestart(plain, set) == "processors, configuration-time");
+}
+
+TEST_CASE("Values that make no sense are told with their keys")
+{
+    for (const char *processors : {"0", "-1", "x", "nan", "1e9"}) {
+        Findings findings;
+        parseHostSettings("h.ini", file("processors=" + std::string(processors) + "\n", ""),
+                          findings);
+        INFO(processors);
+        CHECK(findings.toText().find("processors") != std::string::npos);
+    }
+    Findings findings;
+    parseHostSettings("h.ini", file("", "configuration-time=soon\n"), findings);
+    CHECK(findings.toText().find("configuration-time") != std::string::npos);
+}
