--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -14,6 +14,9 @@
 constexpr int lentPercent = 30;
 // More than this an entry could hardly use at once without filling the server's slots.
 constexpr int mostLent = 2;
+// A host that stops offers its groups to all that it has links with, so that one with room claims
+// each; what nobody has claimed after this time is given to one of them.
+constexpr Duration offerTime = std::chrono::milliseconds(400);
 constexpr Duration quietPeriod = std::chrono::milliseconds(100);
 // An entry without a link is gone after this long: one that lives dials again after 25 to 50 ms.
 constexpr Duration entryReturns = std::chrono::milliseconds(600);
@@ -127,6 +130,7 @@
 {
     Held &mine = held(group);
     mine.handingOver = false;
+    mine.offeredAt = Instant();
     mine.runner->onAcquired();
 }
 
@@ -308,10 +312,17 @@
 void GroupHost::handOverAll(const std::map<std::string, inner::Hello> &peers)
 {
     ownership_.stopClaiming();
+    const Instant now = parts_.timers.now();
     for (const GroupName &group : ownership_.owned()) {
         Held &mine = held(group);
         if (mine.handingOver || peers.empty())
             continue;
+        if (mine.offeredAt == Instant()) {
+            mine.offeredAt = now;
+            ownership_.askTakeOver(group, std::string(), "stopping");
+        }
+        if (now - mine.offeredAt < offerTime)
+            continue;
         // In the primary's zone if possible, else spread by name.
         const ZoneName zone = mine.runner->primaryZone();
         auto chosen = peers.begin();
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -80,6 +80,8 @@
     {
         std::unique_ptr<GroupRunner> runner;
         Instant lostAt {};
+        // When it was offered to others, before a stop.
+        Instant offeredAt {};
         bool handingOver = false;
     };
 
