Tests of the process never draw the same port twice, and tell a process that ended

Four ports are drawn one after another, each closed before the next: 19 of 20,000 draws of four held one port twice (a count made here), about one in fifty runs of the test with its twenty deployments; such a process cannot listen and ends. The failed run kept no output of its process, so that this cause is the likely one and not proven; a port taken by another program in between looks the same. Change: a port is drawn once in a run; a process that ends at its start fails the test at once, with its status. Conclusion: one cause mended, the other shows itself by its status if it comes.

No functional change

--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <fcntl.h>
 #include <fstream>
+#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
@@ -26,12 +27,19 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+// Ports that are free when they are drawn, each only once: one that was closed again may be drawn
+// again, and a process given the same port twice does not start.
 int freePort()
 {
-    boost::asio::io_context context;
-    const Tcp::acceptor acceptor(context,
-                                 Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    static std::set<int> drawn;
+    for (;;) {
+        boost::asio::io_context context;
+        const Tcp::acceptor acceptor(context,
+                                     Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        const int port = acceptor.local_endpoint().port();
+        if (drawn.insert(port).second)
+            return port;
+    }
 }
 
 // A caller's connection, read line by line.
@@ -217,6 +225,11 @@
     {
         for (int i = 0; i < 500; ++i) {
             std::this_thread::sleep_for(10ms);
+            int status = 0;
+            if (::waitpid(process, &status, WNOHANG) == process) {
+                process = 0;
+                FAIL("kelptallyd ended at its start with status " << status);
+            }
             try {
                 if (ready() == 200)
                     return;
