Quotas: owners earn equal parts and give each other what they can spare

Change: decision/quota divides each organisation's quota among the owners of at most eight groups; an owner that runs low asks the others, and what is given is gone at the giver first; a group that two owners may act for earns twice only within the tolerance. group/quotabook holds a host's accounts. Operations count by their first statement; what was counted and never sent is given back. Reads near an entry are left to the owner where there is a quota.

--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -42,6 +42,7 @@
     QueueFull,
     RingFull,
     TeamLimit,
+    QuotaExceeded,
     ConnectionLimit,
     RetryBudgetSpent,
     // Owners, primaries and replicas.
--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -45,7 +45,9 @@
                       return ZoneName();
                   },
                   parts.storeIsSilent},
-                 *this)
+                 *this),
+      quotas_({parts.timers, parts.links, ownership_, parts.log, parts.metrics, parts.self,
+               parts.quotaTolerance})
 { }
 
 GroupHost::Held &GroupHost::held(const GroupName &group)
@@ -54,7 +56,7 @@
     if (held.runner)
         return held;
     held.runner = std::make_unique<GroupRunner>(
-        GroupRunner::Parts {parts_.timers, parts_.connector, ownership_, parts_.promotions,
+        GroupRunner::Parts {parts_.timers, parts_.connector, ownership_, quotas_, parts_.promotions,
                             parts_.log, parts_.metrics, parts_.times, parts_.probe, parts_.zone,
                             parts_.onSilence},
         group);
@@ -86,9 +88,10 @@
         runner->setServers(servers);
 }
 
-void GroupHost::setOptions(const std::map<GroupName, session::GroupOptions> &options)
+void GroupHost::setCatalogue(const session::Catalogue &catalogue)
 {
-    options_ = options;
+    quotas_.setCatalogue(catalogue);
+    options_ = catalogue.groups;
     for (const auto &[group, held] : groups_) {
         const auto found = options_.find(group);
         if (found != options_.end())
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "group/grouprunner.h"
+#include "group/quotabook.h"
 
 #include <deque>
 #include <map>
@@ -39,6 +40,7 @@
         std::function<void(Instant since)> onSilence;
         // Whether the table service answers nothing, as far as is known.
         std::function<bool()> storeIsSilent;
+        decision::QuotaTolerance quotaTolerance;
     };
 
     explicit GroupHost(const Parts &parts);
@@ -49,7 +51,8 @@
     OwnershipTable &ownership() { return ownership_; }
 
     void setServers(const GroupName &group, const std::vector<ListedServer> &servers);
-    void setOptions(const std::map<GroupName, session::GroupOptions> &options);
+    void setCatalogue(const session::Catalogue &catalogue);
+    QuotaBook &quotas() { return quotas_; }
 
     void run(inner::LinkId origin, inner::RunStatement statement,
              session::DoneCallback callback) override;
@@ -122,6 +125,7 @@
 
     const Parts parts_;
     OwnershipTable ownership_;
+    QuotaBook quotas_;
     std::map<GroupName, std::vector<ListedServer>> servers_;
     std::map<GroupName, session::GroupOptions> options_;
     Duration serverLeaveTime_ {std::chrono::seconds(7)};
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -305,6 +305,8 @@
     if (decision::isQueueFull(queue_.size()) && !continuesTransaction(job->statement))
         return refuse(job, Reason::QueueFull, Executed::No, "the queue of the group is full",
                       decision::retryHint(!keeper_.primary().empty()));
+    if (!continuesTransaction(job->statement) && !takeQuota(job))
+        return refuseForQuota(job);
     job->timer = parts_.timers.subscribeAt(job->waiting.holdUntil, [this, alive = alive_, job] {
         if (*alive)
             onHeldTooLong(job);
@@ -313,6 +315,22 @@
     pump();
 }
 
+// An operation counts once, by its first statement. False when there is no room and none to come.
+bool GroupRunner::takeQuota(const JobPtr &job)
+{
+    if (job->statement.organisation.empty())
+        return true;
+    const QuotaBook::Verdict verdict = parts_.quotas.take(job->statement.organisation);
+    job->quota = verdict == QuotaBook::Verdict::Taken ? Job::Quota::Taken : Job::Quota::Asked;
+    return verdict != QuotaBook::Verdict::Refused;
+}
+
+void GroupRunner::refuseForQuota(const JobPtr &job)
+{
+    refuse(job, Reason::QuotaExceeded, Executed::No, "the organisation's quota is used up",
+           parts_.quotas.refuse(job->statement.organisation));
+}
+
 void GroupRunner::enqueue(const JobPtr &job)
 {
     queue_.push_back(job);
@@ -374,10 +392,20 @@
 
 bool GroupRunner::tryStart(const JobPtr &job, Instant now)
 {
-    // 1. Nothing is sent without the lease: the primary may have been replaced.
+    // 1. Nothing runs beyond its organisation's quota.
+    if (job->quota == Job::Quota::Asked && !takeQuota(job)) {
+        parts_.timers.subscribeAt(now, [this, alive = alive_, job] {
+            if (*alive)
+                refuseForQuota(job);
+        });
+        return true;
+    }
+    if (job->quota == Job::Quota::Asked)
+        return false;
+    // 2. Nothing is sent without the lease: the primary may have been replaced.
     if (!parts_.ownership.leaseHolds(group_))
         return false;
-    // 2. A transaction that is open stays on its connection.
+    // 3. A transaction that is open stays on its connection.
     if (continuesTransaction(job->statement)) {
         const auto open = transactions_.find(job->origin);
         if (open == transactions_.end()) {
@@ -390,7 +418,7 @@
         }
         return startInTransaction(job, open->second);
     }
-    // 3. A server that may run it, with a free slot, and a connection.
+    // 4. A server that may run it, with a free slot, and a connection.
     GroupServer *server = chooseServer(job, now);
     if (server == nullptr)
         return false;
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -9,6 +9,7 @@
 #include "decision/statementretry.h"
 #include "group/connectionstate.h"
 #include "group/primarykeeper.h"
+#include "group/quotabook.h"
 #include "session/catalogue.h"
 
 #include <deque>
@@ -29,6 +30,7 @@
         TimerService &timers;
         ServerConnector &connector;
         OwnershipTable &ownership;
+        QuotaBook &quotas;
         PromotionService &promotions;
         EventLog &log;
         Metrics &metrics;
@@ -87,6 +89,14 @@
         session::DoneCallback callback;
         SessionValues values;
         decision::WaitingStatement waiting;
+        // Of its organisation's quota.
+        enum class Quota {
+            NotNeeded,
+            // It waits for what other owners may give.
+            Asked,
+            Taken,
+        };
+        Quota quota = Quota::NotNeeded;
         // Position that a read needs, once it has been worked out.
         std::optional<Position> needs;
         // Servers that have failed it.
@@ -124,6 +134,8 @@
         bool ending = false;
     };
 
+    bool takeQuota(const JobPtr &job);
+    void refuseForQuota(const JobPtr &job);
     void enqueue(const JobPtr &job);
     void sortQueue(Instant now);
     decision::WaitState waitState(const JobPtr &job) const;
--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -345,6 +345,8 @@
         return;
     job->done = true;
     parts_.timers.cancel(job->timer);
+    if (job->quota == Job::Quota::Taken && job->attempts == 0)
+        parts_.quotas.giveBack(job->statement.organisation);
     done.requestId = job->statement.requestId;
     // What the entry needs for reads of its own.
     if (active_ && positions_.newest()) {
--- a/src/group/nearreads.cpp
+++ b/src/group/nearreads.cpp
@@ -102,6 +102,8 @@
     if (statement.inTransaction || statement.verb != inner::SessionVerb::Read
         || statement.rule == inner::ReadRule::Newest)
         return false;
+    if (!statement.organisation.empty() && parts_.isLimited(statement.organisation))
+        return false;
     const auto found = groups_.find(statement.group);
     if (found == groups_.end() || found->second.lent == 0)
         return false;
--- a/src/group/nearreads.h
+++ b/src/group/nearreads.h
@@ -26,6 +26,8 @@
         ZoneName zone;
         // See GroupServer::Parts.
         std::function<void(Instant since)> onSilence;
+        // Whether what the organisation asks is counted, which its owners do.
+        std::function<bool(const OrganisationName &)> isLimited;
     };
 
     explicit NearReads(const Parts &parts);
--- /dev/null
+++ b/src/group/quotabook.cpp
@@ -0,0 +1,154 @@
+#include "group/quotabook.h"
+
+#include <prometheus/counter.h>
+
+#include <algorithm>
+
+namespace kelptally::group {
+
+namespace {
+
+// Owners change without a word to the book; their part is worked out anew this often.
+constexpr Duration refreshPeriod = std::chrono::milliseconds(200);
+constexpr double thousandths = 1000;
+// A request is bounded by what anyone could have.
+constexpr std::uint64_t mostThousandths = std::uint64_t(1) << 50;
+// Organisations with a counter of their own; the rest share one, so that the page stays bounded.
+constexpr std::size_t maxCounted = 100;
+
+} // namespace
+
+QuotaBook::QuotaBook(const Parts &parts) : parts_(parts) { }
+
+void QuotaBook::setCatalogue(const session::Catalogue &catalogue)
+{
+    std::vector<GroupName> groups;
+    for (const auto &[name, options] : catalogue.groups)
+        groups.push_back(name);
+    for (auto at = accounts_.begin(); at != accounts_.end();)
+        at = catalogue.quotas.count(at->first) == 0 ? accounts_.erase(at) : std::next(at);
+    for (const auto &[organisation, quota] : catalogue.quotas) {
+        Account &account = accounts_[organisation];
+        account.quota = quota;
+        account.holders = decision::quotaHolders(organisation, groups);
+        account.refreshAt = Instant();
+    }
+}
+
+decision::QuotaHolders QuotaBook::holdersOf(const Account &account) const
+{
+    decision::QuotaHolders holders;
+    for (const GroupName &group : account.holders) {
+        const bool owned = parts_.ownership.owns(group);
+        const OwnershipRecord *record = parts_.ownership.record(group);
+        const bool doubled = owned ? !parts_.ownership.isAlone(group)
+                                   : record != nullptr && record->guardedUntil != Duration(0);
+        ++holders.all;
+        holders.doubled += doubled;
+        holders.owned += owned;
+        holders.ownedDoubled += owned && doubled;
+    }
+    return holders;
+}
+
+QuotaBook::Account *QuotaBook::find(const OrganisationName &organisation)
+{
+    const auto found = accounts_.find(organisation);
+    if (found == accounts_.end())
+        return nullptr;
+    Account &account = found->second;
+    const Instant now = parts_.timers.now();
+    if (now >= account.refreshAt) {
+        account.refreshAt = now + refreshPeriod;
+        account.account.set(
+            now, decision::quotaPart(account.quota, parts_.tolerance, holdersOf(account)));
+    }
+    return &account;
+}
+
+QuotaBook::Verdict QuotaBook::take(const OrganisationName &organisation)
+{
+    Account *account = find(organisation);
+    if (account == nullptr)
+        return Verdict::Taken;
+    const Instant now = parts_.timers.now();
+    const bool taken = account->account.take(now);
+    if (const auto wanted = account->account.wants(now))
+        ask(organisation, *account, *wanted);
+    if (taken)
+        return Verdict::Taken;
+    return account->account.awaitsGifts(now) ? Verdict::Ask : Verdict::Refused;
+}
+
+void QuotaBook::giveBack(const OrganisationName &organisation)
+{
+    if (Account *account = find(organisation))
+        account->account.giveBack(parts_.timers.now());
+}
+
+Duration QuotaBook::refuse(const OrganisationName &organisation)
+{
+    const bool own = counted_.count(organisation) != 0 || counted_.size() < maxCounted;
+    if (own)
+        counted_.insert(organisation);
+    parts_.metrics
+        .counter("kelptally_quota_refusals_total",
+                 "Operations refused because their organisation's quota was used up",
+                 {{"organisation", own ? organisation : "other"}})
+        .Increment();
+    Account *account = find(organisation);
+    if (account == nullptr)
+        return Duration(0);
+    const Instant now = parts_.timers.now();
+    const Duration wait = account->account.untilRoom(now);
+    parts_.log.info("quota_used_up")
+        .with("organisation", organisation)
+        .with("per_second", static_cast<std::uint64_t>(account->quota.perSecond))
+        .with("burst", static_cast<std::uint64_t>(account->quota.burst))
+        .with("left_thousandths",
+              static_cast<std::uint64_t>(account->account.available(now) * thousandths))
+        .with("retry_after_ms", wait);
+    return wait;
+}
+
+// The owners of the groups that hold the quota, each once and asked for an equal part.
+void QuotaBook::ask(const OrganisationName &organisation, const Account &account, double wanted)
+{
+    std::set<std::string> owners;
+    for (const GroupName &group : account.holders)
+        if (const OwnershipRecord *record = parts_.ownership.record(group))
+            if (record->owner.address != parts_.self.address && !record->owner.address.empty())
+                owners.insert(record->owner.address);
+    for (const std::string &address : owners) {
+        inner::QuotaRequest request;
+        request.organisation = organisation;
+        request.thousandths =
+            static_cast<std::uint64_t>(wanted * thousandths / static_cast<double>(owners.size()));
+        static_cast<void>(parts_.links.sendTo(address, request));
+    }
+}
+
+void QuotaBook::onRequest(inner::LinkId link, const inner::QuotaRequest &request)
+{
+    Account *account = find(request.organisation);
+    if (account == nullptr)
+        return;
+    const double wanted =
+        static_cast<double>(std::min(request.thousandths, mostThousandths)) / thousandths;
+    inner::QuotaGift gift;
+    gift.organisation = request.organisation;
+    gift.thousandths = static_cast<std::uint64_t>(account->account.give(parts_.timers.now(), wanted)
+                                                  * thousandths);
+    if (gift.thousandths > 0)
+        static_cast<void>(parts_.links.sendOn(link, gift));
+}
+
+void QuotaBook::onGift(const inner::QuotaGift &gift)
+{
+    if (Account *account = find(gift.organisation))
+        account->account.receive(parts_.timers.now(),
+                                 static_cast<double>(std::min(gift.thousandths, mostThousandths))
+                                     / thousandths);
+}
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/quotabook.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/timerservice.h"
+#include "decision/quota.h"
+#include "group/ownership.h"
+#include "inner/peerlink.h"
+#include "session/catalogue.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kelptally::group {
+
+// What this host has of the quotas of organisations, whose operations the groups that it owns run.
+// Asks other owners for more, and gives them what is to spare; see decision/quota.
+class QuotaBook
+{
+public:
+    struct Parts
+    {
+        TimerService &timers;
+        inner::PeerLinks &links;
+        const OwnershipTable &ownership;
+        EventLog &log;
+        Metrics &metrics;
+        ProcessId self;
+        decision::QuotaTolerance tolerance;
+    };
+
+    explicit QuotaBook(const Parts &parts);
+
+    void setCatalogue(const session::Catalogue &catalogue);
+
+    enum class Verdict {
+        Taken,
+        // Other owners have been asked a moment ago: there may be room when they answer.
+        Ask,
+        Refused,
+    };
+    // One operation of the organisation.
+    Verdict take(const OrganisationName &organisation);
+    // One that was taken has not run.
+    void giveBack(const OrganisationName &organisation);
+    // When there is room for one that is refused now; counts the refusal.
+    Duration refuse(const OrganisationName &organisation);
+
+    void onRequest(inner::LinkId link, const inner::QuotaRequest &request);
+    void onGift(const inner::QuotaGift &gift);
+
+private:
+    struct Account
+    {
+        decision::Quota quota;
+        std::vector<GroupName> holders;
+        decision::QuotaAccount account;
+        Instant refreshAt {};
+    };
+
+    // Null for an organisation without a quota.
+    Account *find(const OrganisationName &organisation);
+    decision::QuotaHolders holdersOf(const Account &account) const;
+    void ask(const OrganisationName &organisation, const Account &account, double wanted);
+
+    const Parts parts_;
+    std::map<OrganisationName, Account> accounts_;
+    // Organisations that have a counter of their own.
+    std::set<OrganisationName> counted_;
+};
+
+} // namespace kelptally::group
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -42,7 +42,10 @@
                       onServers(group, servers);
                   }),
       near_({ports.timers, ports.connector, ports.log, ports.metrics, times_, settings.zone,
-             [this](Instant since) { onSilence(since); }})
+             [this](Instant since) { onSilence(since); },
+             [this](const OrganisationName &organisation) {
+                 return catalogue_.get()->quotas.count(organisation) != 0;
+             }})
 { }
 
 HostProcess::~HostProcess() = default;
@@ -57,8 +60,19 @@
     links_ = *std::move(links);
     TimerService &timers = ports_.timers;
     groups_ = std::make_unique<group::GroupHost>(group::GroupHost::Parts {
-        timers, *links_, store_, news_, ports_.connector, ports_.promotions, ports_.log,
-        ports_.metrics, times_, ports_.probe, self_, settings_.zone, settings_.processors,
+        timers,
+        *links_,
+        store_,
+        news_,
+        ports_.connector,
+        ports_.promotions,
+        ports_.log,
+        ports_.metrics,
+        times_,
+        ports_.probe,
+        self_,
+        settings_.zone,
+        settings_.processors,
         [this](const GroupName &group) {
             for (const auto &[link, address] : linkAddresses_)
                 static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
@@ -68,7 +82,9 @@
                 static_cast<void>(links_->sendOn(link, message));
         },
         [this](const GroupName &group) { onOwnerChanged(group); },
-        [this](Instant since) { onSilence(since); }, [this] { return store_.isSilent(); }});
+        [this](Instant since) { onSilence(since); },
+        [this] { return store_.isSilent(); },
+        {settings_.quotaWindow, settings_.quotaOver, settings_.quotaSlack}});
     router_ = std::make_unique<session::Router>(
         session::Router::Parts {timers, *links_, groups_->ownership(), *groups_, near_, ports_.log,
                                 ports_.metrics, times_, self_});
@@ -119,7 +135,7 @@
         .with("before", before)
         .with("routes", std::uint64_t(catalogue_.get()->routes.size()))
         .with("keys", std::uint64_t(catalogue_.get()->keys.size()));
-    groups_->setOptions(catalogue_.get()->groups);
+    groups_->setCatalogue(*catalogue_.get());
     for (const auto &[group, options] : catalogue_.get()->groups)
         serverList_.retell(group);
     wantGroups();
@@ -369,6 +385,16 @@
     groups_->onEndTransaction(link, message);
 }
 
+void HostProcess::handle(inner::LinkId link, inner::QuotaRequest &message)
+{
+    groups_->quotas().onRequest(link, message);
+}
+
+void HostProcess::handle(inner::LinkId, inner::QuotaGift &message)
+{
+    groups_->quotas().onGift(message);
+}
+
 void HostProcess::handle(inner::LinkId link, inner::AliveRequest &message)
 {
     static_cast<void>(links_->sendOn(link, inner::AliveAnswer {message.sequence}));
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -116,6 +116,8 @@
     void handle(inner::LinkId link, inner::RunStatement &message);
     void handle(inner::LinkId link, inner::StatementDone &message);
     void handle(inner::LinkId link, inner::EndTransaction &message);
+    void handle(inner::LinkId link, inner::QuotaRequest &message);
+    void handle(inner::LinkId link, inner::QuotaGift &message);
     void handle(inner::LinkId link, inner::AliveRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEndRequest &message);
     void handle(inner::LinkId link, inner::OwnershipEnded &message);
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -327,6 +327,20 @@
     archive.flag(m.needsRoom);
 }
 
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const QuotaRequest &)
+{
+    archive.text(m.organisation, maxNameBytes);
+    archive.number(m.thousandths);
+}
+
+template <typename Archive, typename M>
+void layout(Archive &archive, M &m, const QuotaGift &)
+{
+    archive.text(m.organisation, maxNameBytes);
+    archive.number(m.thousandths);
+}
+
 template <typename Archive, typename M>
 void layout(Archive &archive, M &m, const FollowedTable &)
 {
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -414,11 +414,26 @@
     bool leftOut = false;
 };
 
+// The sender runs low of an organisation's quota, and asks for a part of what the receiver has.
+struct QuotaRequest
+{
+    OrganisationName organisation;
+    // In thousandths of an operation.
+    std::uint64_t thousandths = 0;
+};
+
+// The receiver may run so much more for the organisation; the sender so much less.
+struct QuotaGift
+{
+    OrganisationName organisation;
+    std::uint64_t thousandths = 0;
+};
+
 using Message =
     std::variant<Hello, Execute, ExecuteResult, Cancel, Heartbeat, HeartbeatAnswer, Locate,
                  LocateAnswer, HandOver, ConfigNotice, ConfigRequest, ConfigAnswer, OperatorRequest,
                  OperatorAnswer, RunStatement, StatementDone, EndTransaction, AliveRequest,
                  AliveAnswer, OwnershipEndRequest, OwnershipEnded, Stopping, TakeOver, FollowTables,
-                 TableNews>;
+                 TableNews, QuotaRequest, QuotaGift>;
 
 } // namespace kelptally::inner
--- a/src/session/catalogue.h
+++ b/src/session/catalogue.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/keyring.h"
 #include "core/types.h"
+#include "decision/quota.h"
 #include "inner/messages.h"
 
 #include <deque>
@@ -50,6 +51,8 @@
     // Whether the configuration speaks of organisations at all. Without them nobody needs a key.
     bool hasOrganisations = false;
     KeyRing keys;
+    // Organisations without one may ask as much as they like.
+    std::map<OrganisationName, decision::Quota> quotas;
 };
 
 using CataloguePtr = std::shared_ptr<const Catalogue>;
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -18,20 +18,29 @@
 constexpr DurationRange leaveTimeRange {1s, 10min};
 constexpr DurationRange configurationTimeRange {1s, 10min};
 constexpr DurationRange storeTimeoutRange {10ms, 1min};
-constexpr double leastProcessors = 0.01;
-constexpr double mostProcessors = 1024;
+constexpr DurationRange quotaWindowRange {100ms, 1h};
+struct FractionRange
+{
+    double least;
+    double most;
+    const char *text;
+};
+constexpr FractionRange processorsRange {0.01, 1024, "not a number from 0.01 to 1024"};
+constexpr FractionRange quotaOverRange {0, 10, "not a number from 0 to 10"};
+constexpr FractionRange quotaSlackRange {0, 1e6, "not a number from 0 to 1000000"};
 constexpr std::size_t leastKeyLength = 16;
 
-double readProcessors(SectionReader &reader, double fallback)
+double readFraction(SectionReader &reader, const char *key, const FractionRange &range,
+                    double fallback)
 {
-    if (!reader.has("processors"))
+    if (!reader.has(key))
         return fallback;
-    double processors = 0;
-    const bool valid = absl::SimpleAtod(reader.text("processors"), &processors)
-        && processors >= leastProcessors && processors <= mostProcessors;
+    double value = 0;
+    const bool valid =
+        absl::SimpleAtod(reader.text(key), &value) && value >= range.least && value <= range.most;
     if (!valid)
-        reader.add("processors", "not a number from 0.01 to 1024");
-    return valid ? processors : fallback;
+        reader.add(key, range.text);
+    return valid ? value : fallback;
 }
 
 void readProcess(SectionReader &reader, HostSettings &settings)
@@ -45,7 +54,7 @@
     settings.adminPort = reader.number("admin-port", portRange);
     settings.maxSessions = reader.number("max-sessions", sessionRange, settings.maxSessions);
     settings.grace = reader.duration("grace", graceRange, settings.grace);
-    settings.processors = readProcessors(reader, settings.processors);
+    settings.processors = readFraction(reader, "processors", processorsRange, settings.processors);
     if (settings.adminPort == settings.peerPort)
         reader.add("admin-port", "the same port as peer-port");
 }
@@ -76,6 +85,9 @@
         reader.duration("server-leave-time", leaveTimeRange, settings.serverLeaveTime);
     settings.configurationTime =
         reader.duration("configuration-time", configurationTimeRange, settings.configurationTime);
+    settings.quotaWindow = reader.duration("quota-window", quotaWindowRange, settings.quotaWindow);
+    settings.quotaOver = readFraction(reader, "quota-over", quotaOverRange, settings.quotaOver);
+    settings.quotaSlack = readFraction(reader, "quota-slack", quotaSlackRange, settings.quotaSlack);
 }
 
 void readLog(SectionReader &reader, HostSettings &settings)
@@ -112,6 +124,9 @@
     compare("max-sessions", running.maxSessions, wanted.maxSessions);
     compare("processors", running.processors, wanted.processors);
     compare("configuration-time", running.configurationTime, wanted.configurationTime);
+    compare("quota-window", running.quotaWindow, wanted.quotaWindow);
+    compare("quota-over", running.quotaOver, wanted.quotaOver);
+    compare("quota-slack", running.quotaSlack, wanted.quotaSlack);
     compare("store", running.store, wanted.store);
     compare("promotions", running.promotions, wanted.promotions);
     compare("store-timeout", running.storeTimeout, wanted.storeTimeout);
--- a/src/settings/hostsettings.h
+++ b/src/settings/hostsettings.h
@@ -36,6 +36,12 @@
     // Within this an accepted configuration has to be in force on every host.
     Duration configurationTime {std::chrono::seconds(3)};
 
+    // How far organisations may go beyond their quotas: by this part and so many operations in any
+    // span as long as the window.
+    Duration quotaWindow {std::chrono::seconds(5)};
+    double quotaOver = 0;
+    double quotaSlack = 0;
+
     // [platform]
     std::string store;
     std::string promotions;
--- a/tests/inner/samplemessages.h
+++ b/tests/inner/samplemessages.h
@@ -133,6 +133,8 @@
                    std::chrono::milliseconds(51230),
                    {{"offers", "{}", 18, false}, {"deposits", "", 20, true}},
                    true},
+        QuotaRequest {"town-water", 4500},
+        QuotaGift {"town-water", 1250},
     };
 }
 
