Fair shares by weight: organisations have a share as large as their quota

Change: turns of the fair order cost by service time and weight, the quota over the mean of quotas. By due is still what a process does. Conclusion: weights are measured next.

--- a/src/decision/slotadmission.cpp
+++ b/src/decision/slotadmission.cpp
@@ -22,6 +22,8 @@
 constexpr int deviations = 1;
 // An organisation that is ahead of the others by some statements has had more than its share.
 constexpr Duration aheadBy = std::chrono::milliseconds(50);
+// Of a statement whose kind has not been seen yet.
+constexpr Duration leastCost = std::chrono::milliseconds(1);
 // What a caller is told to wait when a group has no primary, or is full.
 constexpr Duration primaryHint = std::chrono::milliseconds(400);
 constexpr Duration fullHint = std::chrono::milliseconds(100);
@@ -81,13 +83,16 @@
     return rank(a) < rank(b);
 }
 
-Duration OrganisationTurns::onArrival(const OrganisationName &organisation, Duration service)
+Duration OrganisationTurns::onArrival(const OrganisationName &organisation, Duration service,
+                                      double weight)
 {
     if (organisation.empty())
         return reached_;
     Duration &end = ends_[organisation];
     const Duration turn = std::max(reached_, end);
-    end = turn + std::max(service, Duration(std::chrono::milliseconds(1)));
+    const double cost = toMilliseconds(std::max(service, leastCost)) / weight;
+    end = turn
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(cost));
     return turn;
 }
 
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -297,7 +297,8 @@
         decision::waitingStatement(now, job->statement.objective, job->statement.timeLeft,
                                    job->statement.priority, continuesTransaction(job->statement));
     job->waiting.service = serviceTimes_.usual(job->statement.objective, job->statement.priority);
-    job->waiting.turn = turns_.onArrival(job->statement.organisation, job->waiting.service);
+    job->waiting.turn = turns_.onArrival(job->statement.organisation, job->waiting.service,
+                                         parts_.quotas.weightOf(job->statement.organisation));
     job->values = valuesOf(job->statement);
     if (continuesTransaction(job->statement)) {
         const auto open = transactions_.find(job->origin);
--- /dev/null
+++ b/tests/decision/fairshare_test.cpp
@@ -0,0 +1,134 @@
+#include "decision/slotadmission.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace kelptally;
+using namespace kelptally::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start {1000s};
+constexpr Duration work = 14ms;
+constexpr int slots = 3;
+
+struct Part
+{
+    int asked = 0;
+    int inTime = 0;
+
+    double share() const { return asked == 0 ? 1 : double(inTime) / asked; }
+};
+
+struct Served
+{
+    Part greedy;
+    Part others;
+};
+
+// Three slots of 14 ms each, 214 statements a second. Twenty organisations ask for six a second
+// each, and one of them for so many times that.
+Served serve(bool fair, double greed)
+{
+    std::mt19937_64 random(3);
+    std::uniform_real_distribution<double> chance(0, 1);
+    struct Waiting
+    {
+        WaitingStatement statement;
+        bool greedy = false;
+    };
+    OrganisationTurns turns;
+    std::vector<Waiting> queue;
+    std::vector<Instant> free(slots, start);
+    Served served;
+    for (Instant now = start; now < start + 10s; now += 1ms) {
+        for (int organisation = 0; organisation < 20; ++organisation) {
+            const bool greedy = organisation == 0;
+            if (chance(random) >= 0.006 * (greedy ? greed : 1))
+                continue;
+            Waiting waiting;
+            waiting.statement = waitingStatement(now, 250ms, 800ms, 2, false);
+            waiting.statement.service = work;
+            waiting.statement.turn = turns.onArrival("org" + std::to_string(organisation), work, 1);
+            waiting.greedy = greedy;
+            queue.push_back(waiting);
+            ++(greedy ? served.greedy : served.others).asked;
+        }
+        queue.erase(std::remove_if(queue.begin(), queue.end(),
+                                   [&](const Waiting &each) {
+                                       return giveUpAt(each.statement, {}, now) <= now;
+                                   }),
+                    queue.end());
+        if (fair)
+            for (Waiting &each : queue)
+                each.statement.aheadOfShare = turns.isAhead(each.statement.turn);
+        for (Instant &slot : free) {
+            if (slot > now || queue.empty())
+                continue;
+            const auto next =
+                std::min_element(queue.begin(), queue.end(), [&](const auto &a, const auto &b) {
+                    return goesBefore(a.statement, b.statement, now);
+                });
+            slot = now + work;
+            turns.onStart(next->statement.turn);
+            ++(next->greedy ? served.greedy : served.others).inTime;
+            (next->greedy ? served.greedy : served.others).inTime -= slot > next->statement.due;
+            queue.erase(next);
+        }
+    }
+    return served;
+}
+
+} // namespace
+
+// The load: one organisation without a quota asks for forty times its usual.
+TEST_CASE("Beside a greedy organisation the others keep their service")
+{
+    const Served due = serve(false, 40);
+    const Served fair = serve(true, 40);
+    INFO(due.others.share() << " of the others' in time by due alone, " << fair.others.share()
+                            << " by fair shares; of the greedy one's " << due.greedy.share()
+                            << " and " << fair.greedy.share());
+    CHECK(due.others.share() < 0.75);
+    CHECK(fair.others.share() > 0.95);
+    // What the others leave is not wasted.
+    CHECK(fair.greedy.inTime + fair.others.inTime
+          >= 0.95 * (due.greedy.inTime + due.others.inTime));
+}
+
+TEST_CASE("Fair shares change little when nobody is greedy")
+{
+    const Served due = serve(false, 1);
+    const Served fair = serve(true, 1);
+    CHECK(fair.others.inTime + fair.greedy.inTime
+          >= 0.99 * (due.others.inTime + due.greedy.inTime));
+}
+
+TEST_CASE("An organisation that rested gets no credit for it, and one that is ahead waits its turn")
+{
+    OrganisationTurns turns;
+    for (int i = 0; i < 20; ++i)
+        turns.onArrival("a", 10ms, 1);
+    const Duration last = turns.onArrival("a", 10ms, 1);
+    CHECK(turns.isAhead(last));
+    turns.onStart(last);
+    CHECK(!turns.isAhead(last));
+    // b comes late: its first one is due now, not two hundred milliseconds ago.
+    CHECK(turns.onArrival("b", 10ms, 1) == last);
+}
+
+TEST_CASE("An organisation of a larger quota has a larger share")
+{
+    OrganisationTurns turns;
+    for (int i = 0; i < 10; ++i) {
+        turns.onArrival("large", 10ms, 4);
+        turns.onArrival("small", 10ms, 1);
+    }
+    CHECK(!turns.isAhead(turns.onArrival("large", 10ms, 4)));
+    CHECK(turns.isAhead(turns.onArrival("small", 10ms, 1)));
+}
