Owners refuse organisations that their configuration has dropped; a new owner begins with a whole account

Cause: the version that a statement carries was not used: an entry that is cut off from news could go on sending statements of a dropped organisation. And a host whose account existed before it took a group began with nothing. Change: QuotaBook knows the organisations in force; an owner refuses one that its configuration, at least as new as the statement's, does not have. An account that begins to earn is whole.

--- a/src/decision/quota.cpp
+++ b/src/decision/quota.cpp
@@ -86,7 +86,8 @@
 void QuotaAccount::set(Instant now, const QuotaPart &part)
 {
     earn(now);
-    if (!isSet_)
+    const bool begins = part_.perSecond <= 0 && part.perSecond > 0;
+    if (!isSet_ || begins)
         available_ = part.capacity;
     else if (part.capacity > part_.capacity)
         available_ += part.capacity - part_.capacity;
--- a/src/decision/quota.h
+++ b/src/decision/quota.h
@@ -64,7 +64,8 @@
 class QuotaAccount
 {
 public:
-    // From now on it earns and keeps this much. What is new of the capacity is there at once.
+    // From now on it earns and keeps this much. What is new of the capacity is there at once, and
+    // all of it when the account begins to earn, as its host takes a group.
     void set(Instant now, const QuotaPart &part);
 
     // Takes one operation; false when there is none.
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -309,6 +309,11 @@
     } else if (!active_) {
         return refuse(job, Reason::NotOwner, Executed::No, "the group has another owner");
     }
+    const OrganisationName &organisation = job->statement.organisation;
+    if (!organisation.empty() && !continuesTransaction(job->statement)
+        && !parts_.quotas.isKnown(organisation, job->statement.organisationVersion))
+        return refuse(job, Reason::Unauthenticated, Executed::No,
+                      "the organisation is not in force any more");
     if (decision::isQueueFull(queue_.size()) && !continuesTransaction(job->statement))
         return refuse(job, Reason::QueueFull, Executed::No, "the queue of the group is full",
                       decision::retryHint(!keeper_.primary().empty()));
--- a/src/group/quotabook.cpp
+++ b/src/group/quotabook.cpp
@@ -25,16 +25,29 @@
     std::vector<GroupName> groups;
     for (const auto &[name, options] : catalogue.groups)
         groups.push_back(name);
-    for (auto at = accounts_.begin(); at != accounts_.end();)
-        at = catalogue.quotas.count(at->first) == 0 ? accounts_.erase(at) : std::next(at);
-    for (const auto &[organisation, quota] : catalogue.quotas) {
+    version_ = catalogue.version;
+    organisations_.clear();
+    std::map<OrganisationName, Account> before;
+    before.swap(accounts_);
+    for (const auto &[organisation, quota] : catalogue.organisations) {
+        organisations_.insert(organisation);
+        if (!quota)
+            continue;
         Account &account = accounts_[organisation];
-        account.quota = quota;
+        const auto known = before.find(organisation);
+        if (known != before.end())
+            account = std::move(known->second);
+        account.quota = *quota;
         account.holders = decision::quotaHolders(organisation, groups);
         account.refreshAt = Instant();
     }
 }
 
+bool QuotaBook::isKnown(const OrganisationName &organisation, ConfigVersion version) const
+{
+    return version > version_ || organisations_.count(organisation) != 0;
+}
+
 decision::QuotaHolders QuotaBook::holdersOf(const Account &account) const
 {
     decision::QuotaHolders holders;
--- a/src/group/quotabook.h
+++ b/src/group/quotabook.h
@@ -48,6 +48,9 @@
     // When there is room for one that is refused now; counts the refusal.
     Duration refuse(const OrganisationName &organisation);
 
+    // Whether the organisation is there, or may be: the statement's entry knows a newer
+    // configuration than this host.
+    bool isKnown(const OrganisationName &organisation, ConfigVersion version) const;
     bool hasQuota(const OrganisationName &organisation) const
     {
         return accounts_.count(organisation) != 0;
@@ -71,6 +74,9 @@
     void ask(const OrganisationName &organisation, const Account &account, double wanted);
 
     const Parts parts_;
+    ConfigVersion version_ = 0;
+    std::set<OrganisationName> organisations_;
+    // Of those that have a quota.
     std::map<OrganisationName, Account> accounts_;
     // Organisations that have a counter of their own.
     std::set<OrganisationName> counted_;
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -44,7 +44,7 @@
       near_({ports.timers, ports.connector, ports.log, ports.metrics, times_, settings.zone,
              [this](Instant since) { onSilence(since); },
              [this](const OrganisationName &organisation) {
-                 return catalogue_.get()->quotas.count(organisation) != 0;
+                 return groups_->quotas().hasQuota(organisation);
              }})
 { }
 
--- a/src/session/catalogue.h
+++ b/src/session/catalogue.h
@@ -51,8 +51,8 @@
     // Whether the configuration speaks of organisations at all. Without them nobody needs a key.
     bool hasOrganisations = false;
     KeyRing keys;
-    // Organisations without one may ask as much as they like.
-    std::map<OrganisationName, decision::Quota> quotas;
+    // Organisations without a quota may ask as much as they like.
+    std::map<OrganisationName, std::optional<decision::Quota>> organisations;
 };
 
 using CataloguePtr = std::shared_ptr<const Catalogue>;
--- a/tests/decision/quota_test.cpp
+++ b/tests/decision/quota_test.cpp
@@ -114,6 +114,19 @@
     CHECK(account.wants(start + 440ms));
 }
 
+TEST_CASE("A host that takes a group begins with what an owner keeps, and not by a gift alone")
+{
+    QuotaAccount account;
+    account.set(start, {0, 4});
+    // Gifts that are not used don't stay.
+    CHECK(account.available(start + 2s) == 0);
+    account.receive(start + 2s, 3);
+    CHECK(account.available(start + 2s) == 3);
+    CHECK(account.available(start + 4s) == 0);
+    account.set(start + 5s, {1, 4});
+    CHECK(account.available(start + 5s) == 4);
+}
+
 TEST_CASE("Refused callers are told to come back one after the other")
 {
     QuotaAccount account;
--- a/tests/host/organisations_test.cpp
+++ b/tests/host/organisations_test.cpp
@@ -17,6 +17,11 @@
     world.run(500ms);
 }
 
+std::size_t otherThan(int host)
+{
+    return host == 0 ? 1 : 0;
+}
+
 struct Counts
 {
     int served = 0;
@@ -115,6 +120,28 @@
     checkRight(world);
 }
 
+TEST_CASE(
+    "An owner refuses organisations that its configuration has dropped, whatever an entry believes")
+{
+    World world(1);
+    settle(world);
+    world.divideAmong(3, 0);
+    writeFor(world, 200ms, 1);
+    const auto entry = otherThan(world.owner());
+    // The entry hears nothing of the next configuration.
+    world.divideAmong(2, 0, entry);
+    std::vector<World::OutcomePtr> all;
+    for (int i = 0; i < 9; ++i)
+        all.push_back(world.write(entry, i % 3));
+    world.run(500ms);
+    for (int i = 0; i < 9; ++i) {
+        CAPTURE(i);
+        CHECK(all[static_cast<std::size_t>(i)]->result.reason
+              == (i % 3 == 2 ? Reason::Unauthenticated : Reason::None));
+    }
+    checkRight(world);
+}
+
 TEST_CASE(
     "An organisation over its quota is refused at once, with a time to come back; others are not")
 {
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -639,19 +639,21 @@
     catalogue->routes["main"] = route;
     catalogue->groups[route.group] = {20, true, organisations_ > 0};
     catalogue->hasOrganisations = organisations_ > 0;
+    for (int i = 0; i < organisations_; ++i)
+        catalogue->organisations["org" + std::to_string(i)] = std::nullopt;
     if (quota_ > 0)
-        catalogue->quotas["org0"] = {quota_, quota_};
+        catalogue->organisations["org0"] = decision::Quota {quota_, quota_};
     return catalogue;
 }
 
-void World::divideAmong(int organisations, double quota)
+void World::divideAmong(int organisations, double quota, std::optional<std::size_t> except)
 {
     organisations_ = organisations;
     quota_ = quota;
     ++version_;
-    for (const auto &host : hosts)
-        if (host && host->up)
-            host->process->onCatalogue(catalogue());
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+        if (hosts[i] && hosts[i]->up && except != i)
+            hosts[i]->process->onCatalogue(catalogue());
 }
 
 void World::unlist(const ServerName &server)
@@ -692,6 +694,17 @@
     return change(host, std::move(write));
 }
 
+World::OutcomePtr World::write(std::size_t host, int organisation)
+{
+    inner::RunStatement write = statement("w");
+    write.verb = inner::SessionVerb::Write;
+    write.text = "WRITE item data";
+    write.organisation = "org" + std::to_string(organisation);
+    write.organisationVersion = hosts[host]->process->catalogue()->version;
+    write.statementId = write.organisation + "/w" + std::to_string(lastStatement_);
+    return change(host, std::move(write));
+}
+
 World::OutcomePtr World::begin(std::size_t host, std::uint64_t session)
 {
     const auto outcome = std::make_shared<Outcome>();
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -81,7 +81,8 @@
     void name(std::size_t host, const GroupName &group);
     // From now on statements belong to one of so many organisations, by turns. The first one has a
     // quota of so many operations a second and at once, unless that is 0.
-    void divideAmong(int organisations, double quota);
+    // One host may hear nothing of it.
+    void divideAmong(int organisations, double quota, std::optional<std::size_t> except = {});
     // The server's entry is gone from the list.
     void unlist(const ServerName &server);
     // A planned stop of the host.
@@ -98,6 +99,8 @@
 
     // Statements at one host. Reads are checked when they are answered.
     OutcomePtr write(std::size_t host);
+    // Of one organisation, by the configuration that the host has.
+    OutcomePtr write(std::size_t host, int organisation);
     OutcomePtr read(std::size_t host, inner::ReadRule rule, Duration maxAge = {});
     // A transaction of one write, by its two statements.
     OutcomePtr begin(std::size_t host, std::uint64_t session);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -113,10 +113,11 @@
                    {"name":"f","apiKeys":["kf"],"ratePerS":5,"burstSize":null}]})");
     REQUIRE(parsed.ok());
     const session::Catalogue &c = *parsed->catalogue;
-    CHECK(c.quotas.size() == 2);
-    CHECK(c.quotas.at("a").perSecond == 191);
-    CHECK(c.quotas.at("a").burst == Approx(95.5));
-    CHECK(c.quotas.at("c").perSecond == 0);
+    CHECK(c.organisations.size() == 3);
+    CHECK(c.organisations.at("a")->perSecond == 191);
+    CHECK(c.organisations.at("a")->burst == Approx(95.5));
+    CHECK(!c.organisations.at("b"));
+    CHECK(c.organisations.at("c")->perSecond == 0);
     CHECK(c.keys.size() == 3);
     CHECK(parsed->leftOut.size() == 3);
 }
