Connections that rest inside transactions leave the others their share; refusals leave their inputs in the log

Cause: callers that rest inside transactions held up to 17 of an owner's 23 connections to a primary. Change: the owner's share grows by what rests, up to 85% of what a server takes. A statement that never started logs what it waited for (place, queue, organisation), and a statement that is refused at the entry for its key or route logs its id.

--- a/src/decision/connectionplaces.cpp
+++ b/src/decision/connectionplaces.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// What a group gives its owner at least, however few connections its servers take.
+constexpr int leastShare = 3;
+
 // The best of the organisation's own: with the session's values, else the one used last.
 std::optional<std::size_t> ownConnection(const std::vector<IdleConnection> &idle)
 {
@@ -24,6 +27,13 @@
 
 } // namespace
 
+int ownerShare(int maxConnections, int resting, const OwnerShare &share)
+{
+    const int usual = std::max(leastShare, maxConnections * share.usual / 100);
+    const int most = std::max(usual, maxConnections * share.withResting / 100);
+    return std::min(most, usual + resting);
+}
+
 const char *placeName(Place place)
 {
     switch (place) {
--- a/src/decision/connectionplaces.h
+++ b/src/decision/connectionplaces.h
@@ -38,6 +38,18 @@
     Duration leastRest {0};
 };
 
+// What one owner may have of a server's connections, in percent.
+struct OwnerShare
+{
+    int usual = 0;
+    // With those that rest inside transactions, which serve nobody else meanwhile.
+    int withResting = 0;
+};
+
+// How many connections an owner may have. The rest is for the next owner, for whom a server keeps
+// those of a host that lost power.
+int ownerShare(int maxConnections, int resting, const OwnerShare &share);
+
 enum class Place {
     // An idle connection of the organisation.
     Use,
--- a/src/decision/ways.h
+++ b/src/decision/ways.h
@@ -21,6 +21,8 @@
     // Of a server's connections an owner may have this part, in percent, where each belongs to an
     // organisation.
     int ownerShare = 60;
+    // And up to this part for connections that rest inside transactions.
+    int restingShare = 85;
     // What speaks against a server to which a connection would have to be opened, in percent of its
     // slots.
     int openingCost = 100;
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -526,6 +526,14 @@
         if (open != transactions_.end() && open->second.job == job)
             forgetTransaction(job->origin, true);
         const bool hasPrimary = !keeper_.primary().empty();
+        parts_.log
+            .info("statement_not_started",
+                  job->place ? decision::placeName(*job->place) : "wait_for_slot")
+            .with("id", job->statement.statementId)
+            .with("group", group_)
+            .with("organisation", job->statement.organisation)
+            .with("waited_ms", parts_.timers.now() - job->waiting.arrived)
+            .with("queued", std::uint64_t(queue_.size()));
         return refuse(job, hasPrimary ? Reason::DeadlineTooShort : Reason::NoPrimary, Executed::No,
                       "no server was free in time", decision::retryHint(hasPrimary));
     }
--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -67,8 +67,10 @@
 
 void GroupServer::setMaxConnections(int count, bool byOrganisation)
 {
-    pool_.setMaxConnections(count, byOrganisation,
-                            byOrganisation ? parts_.ways.ownerShare : sharePercent);
+    decision::OwnerShare share {sharePercent, sharePercent};
+    if (byOrganisation)
+        share = {parts_.ways.ownerShare, parts_.ways.restingShare};
+    pool_.setMaxConnections(count, byOrganisation, share);
 }
 
 void GroupServer::warmUp()
--- a/src/group/serverpool.cpp
+++ b/src/group/serverpool.cpp
@@ -11,8 +11,6 @@
 // instead, everyone waited who had none: 36 of 200 statements were served, and now all (the replay
 // in organisations_test).
 constexpr Duration crowdedTime = std::chrono::milliseconds(300);
-// What a group gives its owner at least, however few connections its servers take.
-constexpr int leastShare = 3;
 // Opened ahead beyond the slots: connections that rest inside transactions.
 constexpr int spareConnections = 1;
 // A connection that nobody has needed for this long is closed, down to those opened ahead. A server
@@ -27,18 +25,21 @@
 
 } // namespace
 
-void ServerPool::setMaxConnections(int count, bool byOrganisation, int ownerShare)
+void ServerPool::setMaxConnections(int count, bool byOrganisation,
+                                   const decision::OwnerShare &share)
 {
     maxConnections_ = count;
     byOrganisation_ = byOrganisation;
-    ownerShare_ = ownerShare;
+    ownerShare_ = share;
 }
 
 int ServerPool::share(Instant now) const
 {
     if (limit_)
         return *limit_;
-    const int own = std::max(leastShare, maxConnections_ * ownerShare_ / 100);
+    const auto resting = std::count_if(taken_.begin(), taken_.end(),
+                                       [](const auto &each) { return !each->working; });
+    const int own = decision::ownerShare(maxConnections_, static_cast<int>(resting), ownerShare_);
     return now < crowdedUntil_ ? std::min(own, crowdedShare_) : own;
 }
 
--- a/src/group/serverpool.h
+++ b/src/group/serverpool.h
@@ -46,7 +46,7 @@
 
     // Connections of all owners together, of which this one takes a part in percent; and whether
     // each belongs to one organisation.
-    void setMaxConnections(int count, bool byOrganisation, int ownerShare);
+    void setMaxConnections(int count, bool byOrganisation, const decision::OwnerShare &share);
     // This one takes so many and no more, whatever the part.
     void limitConnections(int count) { limit_ = count; }
     // A connection that has rested for less is not closed to make room for another organisation.
@@ -101,7 +101,7 @@
     const Opener opener_;
     int maxConnections_ = 0;
     bool byOrganisation_ = false;
-    int ownerShare_ = 0;
+    decision::OwnerShare ownerShare_;
     std::optional<int> limit_;
     Duration leastRest_ {0};
     // Until then the server takes no more connections than these from here.
--- a/src/session/callersession.cpp
+++ b/src/session/callersession.cpp
@@ -49,7 +49,7 @@
             return fail(Reason::MalformedRequest, Executed::No, "there is no transaction");
         const Reason refused = beginOperation();
         if (refused != Reason::None)
-            return fail(refused, Executed::No, "the route or the key is not in force any more");
+            return refuseOperation(statement, refused);
     }
     // 4. The rest goes to the owner.
     if (statement.kind == StatementKind::Commit)
@@ -79,7 +79,7 @@
         return fail(Reason::MalformedRequest, Executed::No, "a transaction is open");
     const Reason refused = beginOperation();
     if (refused != Reason::None)
-        return fail(refused, Executed::No, "the route or the key is not in force any more");
+        return refuseOperation(statement, refused);
     mode_ = statement.kind == StatementKind::Begin ? inner::TransactionMode::ReadWrite
                                                    : inner::TransactionMode::ReadOnly;
     opened_ = false;
@@ -103,6 +103,16 @@
     return Reason::None;
 }
 
+void CallerSession::refuseOperation(const Statement &statement, Reason reason)
+{
+    parts_.log.info("statement_refused", reasonInfo(reason).name)
+        .with("id", statement.id)
+        .with("session", number_)
+        .with("database", database_)
+        .with("version", parts_.catalogue.version());
+    fail(reason, Executed::No, "the route or the key is not in force any more");
+}
+
 bool CallerSession::hasLostKey() const
 {
     if (organisation_.empty())
--- a/src/session/callersession.h
+++ b/src/session/callersession.h
@@ -81,6 +81,7 @@
     // The key's organisation was another when the transaction began, and has not been its for a
     // while.
     bool hasLostKey() const;
+    void refuseOperation(const Statement &statement, Reason reason);
     void endWithKey(const Statement &statement);
     void runHere(const Statement &statement);
     void begin(const Statement &statement);
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -99,6 +99,7 @@
     ways.wait =
         static_cast<WaitRule>(reader.choice("wait", {"fair-unless-limited", "fair", "due"}, 0));
     ways.ownerShare = reader.number("owner-share", ownerShareRange, ways.ownerShare);
+    ways.restingShare = reader.number("resting-share", ownerShareRange, ways.restingShare);
     ways.openingCost = reader.number("opening-cost", openingCostRange, ways.openingCost);
 }
 
--- a/tests/decision/connectionplaces_test.cpp
+++ b/tests/decision/connectionplaces_test.cpp
@@ -59,6 +59,16 @@
     CHECK(choosePlace({idle(false, 3s)}, near, start).place == Place::Replace);
 }
 
+TEST_CASE("Connections that rest inside transactions leave the others their share, up to a bound")
+{
+    const OwnerShare share {60, 85};
+    CHECK(ownerShare(39, 0, share) == 23);
+    CHECK(ownerShare(39, 5, share) == 28);
+    CHECK(ownerShare(39, 17, share) == 33);
+    CHECK(ownerShare(39, 17, {60, 60}) == 23);
+    CHECK(ownerShare(2, 0, share) == 3);
+}
+
 TEST_CASE("Openings leave a slot for work, and an organisation opens one at a time")
 {
     ServerConnections state = server(1, 10);
