--- a/src/group/quotabook.cpp
+++ b/src/group/quotabook.cpp
@@ -22,9 +22,9 @@
 
 void QuotaBook::setCatalogue(const session::Catalogue &catalogue)
 {
-    std::vector<GroupName> groups;
+    groups_.clear();
     for (const auto &[name, options] : catalogue.groups)
-        groups.push_back(name);
+        groups_.push_back(name);
     version_ = catalogue.version;
     organisations_.clear();
     std::map<OrganisationName, Account> before;
@@ -38,7 +38,7 @@
         if (known != before.end())
             account = std::move(known->second);
         account.quota = *quota;
-        account.holders = decision::quotaHolders(organisation, groups);
+        account.holders.clear();
         account.refreshAt = Instant();
     }
 }
@@ -71,6 +71,9 @@
         return nullptr;
     Account &account = found->second;
     const Instant now = parts_.timers.now();
+    // Worked out by those hosts alone that count: a hash for each group and organisation.
+    if (account.holders.empty())
+        account.holders = decision::quotaHolders(organisation, groups_);
     if (now >= account.refreshAt) {
         account.refreshAt = now + refreshPeriod;
         account.account.set(
--- a/src/group/quotabook.h
+++ b/src/group/quotabook.h
@@ -76,6 +76,7 @@
 
     const Parts parts_;
     ConfigVersion version_ = 0;
+    std::vector<GroupName> groups_;
     std::set<OrganisationName> organisations_;
     // Of those that have a quota.
     std::map<OrganisationName, Account> accounts_;
