Reverted: newcomers tried alone, and queues gone through no further than 64

Cause: found by reading. A newcomer could take a slot that had just been freed before the better ranked ones that wait were tried; and 64 writes that wait for a lost primary would have kept reads behind them from replicas. Change: each arrival goes through the queue again, all of it, as before. Holders of quotas stay worked out by hosts that count, and a queue is left alone while no server has a slot. Conclusion: reverted.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -14,9 +14,6 @@
 
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
-// Statements that wait for a connection or a lag are tried at each event, best rank first; so many
-// that find nothing show that the rest would hardly find more.
-constexpr int maxFailedTries = 64;
 // While statements run, their connections are looked at this often.
 constexpr Duration silencePeriod = std::chrono::milliseconds(25);
 
@@ -326,12 +323,8 @@
         if (*alive)
             onHeldTooLong(job);
     });
-    // What waits has found nothing since the last event, so only the newcomer is tried.
-    if (queue_.empty() || !tryStart(job, now)) {
-        enqueue(job);
-        if (queue_.size() == 1)
-            pump();
-    }
+    enqueue(job);
+    pump();
 }
 
 bool GroupRunner::hasTurns(const OrganisationName &organisation) const
@@ -407,7 +400,6 @@
     bool mayStart = anySlot(now);
     if (mayStart)
         sortQueue(now);
-    int failed = 0;
     std::optional<Instant> later;
     for (auto at = queue_.begin(); at != queue_.end();) {
         const JobPtr job = *at;
@@ -426,7 +418,6 @@
             mayStart = anySlot(now);
         } else {
             ++at;
-            mayStart = mayStart && ++failed < maxFailedTries;
         }
     }
     // What waits for a connection, a lag or a lease has no event of its own.
