Sight: what a choice of a primary compared, and every command to a server

Cause: logs told neither which servers a choice had left out nor who had stopped replicas and who had let them receive again, so the incident's hypotheses could not be told apart. Change: candidate_chosen names the old primary and the unheard servers with what is known of each; server_commanded tells every stop, resume and step down with epoch, term and step; replica_settled tells what a replica held when it was let go. No change of logic.

No functional change

--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -273,6 +273,22 @@
     look();
 }
 
+// Servers of the list whose logs the choice does not know, and what is known of each.
+std::string PrimaryKeeper::unheard() const
+{
+    std::string text;
+    for (const auto &[id, server] : servers_) {
+        if (stopped_.count(id) != 0)
+            continue;
+        const char *state = server->isAbsent() ? "absent"
+            : server->isUnreachable()          ? "unreachable"
+            : server->listed().missing         ? "missing"
+                                               : "listed";
+        text += (text.empty() ? "" : " ") + id + "=" + state;
+    }
+    return text;
+}
+
 void PrimaryKeeper::recordCandidate()
 {
     if (parts_.timers.now() < recordAfter_)
@@ -283,7 +299,9 @@
     parts_.log.info("candidate_chosen")
         .with("group", group_)
         .with("candidate", candidate_)
+        .with("old_primary", oldPrimary_)
         .with("positions", positions)
+        .with("unheard", unheard())
         .with("acknowledged", acknowledged_ ? positionText(*acknowledged_) : std::string("-"))
         .with("knows_all", knowsAll_);
     enter(Step::Recording);
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -34,6 +34,20 @@
     return names[step];
 }
 
+const char *commandName(CommandKind kind)
+{
+    switch (kind) {
+    case CommandKind::StopReceiving:
+        return "stop_receiving";
+    case CommandKind::ResumeReceiving:
+        return "resume_receiving";
+    case CommandKind::StepDown:
+        return "step_down";
+    default:
+        return "other";
+    }
+}
+
 } // namespace
 
 PrimaryKeeper::PrimaryKeeper(const Parts &parts, const GroupName &group, GroupServers &servers,
@@ -61,6 +75,13 @@
         .with("term", highestTerm_);
 }
 
+// Of this process's ownership; zero when it has none.
+OwnerEpoch PrimaryKeeper::epoch() const
+{
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    return record == nullptr ? 0 : record->epoch;
+}
+
 GroupServer *PrimaryKeeper::find(const ServerName &id)
 {
     const auto found = servers_.find(id);
@@ -133,6 +154,13 @@
     ServerCommand command;
     command.kind = kind;
     command.term = term;
+    if (kind != CommandKind::Report)
+        parts_.log.info("server_commanded", commandName(kind))
+            .with("group", group_)
+            .with("server", server.id())
+            .with("term", term)
+            .with("epoch", epoch())
+            .with("step", stepName(static_cast<int>(step_)));
     const std::uint64_t change = change_;
     server.control(command, timeout,
                    [this, alive = alive_, change, id = server.id(),
@@ -460,6 +488,11 @@
                 return ask(*server, CommandKind::ResumeReceiving, report.stoppedUnder,
                            reportTimeout, [](const ServerReport &) {});
             toSettle_.erase(id);
+            parts_.log.info("replica_settled")
+                .with("group", group_)
+                .with("server", id)
+                .with("term", report.term)
+                .with("received", report.received);
         });
     }
 }
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -137,6 +137,7 @@
     void askForReach(Instant now);
     void abandonPlanned();
     void cancelChange(const std::string &why);
+    std::string unheard() const;
     void recordCandidate();
     void confirmCandidate(Instant now);
     void call();
@@ -151,6 +152,7 @@
     void ask(GroupServer &server, CommandKind kind, Term term, Duration timeout,
              std::function<void(const ServerReport &)> callback);
     void noteTerm(Term term) { highestTerm_ = std::max(highestTerm_, term); }
+    OwnerEpoch epoch() const;
     GroupServer *find(const ServerName &id);
     void enter(Step step);
     Duration inStep(Instant now) const { return now - stepSince_; }
