A failing case: the answer of a server that has left the list

Cause: chooseCandidate compares how many answers it keeps with how many servers are listed; an answer stays when its server leaves the list. Change: a case. Conclusion: open; the case fails on the present code.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -134,3 +134,27 @@
     CHECK(world.group.primary() == roles.whole);
     checkRight(world);
 }
+
+// While a change waits for the replica that has everything, a newcomer that has answered leaves the
+// list. Its answer is counted on, now in the place of the one that is waited for, and the lagging
+// replica is promoted.
+TEST_CASE("The answer of a server that has left the list counts for no other one")
+{
+    World world(103);
+    const Roles roles = writeToOneReplica(world);
+    const ServerName newcomer = "cases-4";
+    world.group.add(newcomer);
+    world.relist(newcomer);
+    world.run(1s);
+    cutFromHosts(world, roles.whole, true);
+    world.group.crash(roles.primary);
+    world.run(2s);
+    REQUIRE(world.group.promotions == 0);
+    world.group.crash(newcomer);
+    world.unlist(newcomer);
+    writeUntilPromoted(world, 0, untilGone + 2s);
+    cutFromHosts(world, roles.whole, false);
+    writeUntilPromoted(world, 0, 5s);
+    CHECK(world.group.primary() == roles.whole);
+    checkRight(world);
+}
