A failing case: a hanging primary replaced by a replica that lacks what it has

Cause: the primary that is replaced counts as the one server that need not be heard, also when the replica that had confirmed its commits has left the list. Change: a case. Measured: with cases-3 off the list, commits_hang replaces cases-1, which is well, by cases-2: candidate_chosen with positions "cases-2=1.1", acknowledged 1.21, knows_all true; 20 acknowledged commits are lost. Conclusion: open; the case fails on the present code.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -81,6 +81,15 @@
     }
 }
 
+void writeFor(World &world, std::size_t host, Duration time)
+{
+    const Instant end = world.timers.now() + time;
+    while (world.timers.now() < end) {
+        world.write(host);
+        world.run(20ms);
+    }
+}
+
 // Writes at the host until a replica leads, or for the whole time.
 void writeUntilPromoted(World &world, std::size_t host, Duration time)
 {
@@ -158,3 +167,20 @@
     CHECK(world.group.primary() == roles.whole);
     checkRight(world);
 }
+
+// The replica that confirmed everything is lost for good while the other one receives nothing. The
+// primary is well, but acknowledges no more, and so it is replaced by the only replica listed,
+// which lacks what the lost one had confirmed.
+TEST_CASE("A primary whose commits hang is not replaced by a replica that lacks what it has")
+{
+    World world(104);
+    const Roles roles = writeToOneReplica(world);
+    world.group.crash(roles.whole);
+    world.unlist(roles.whole);
+    world.run(untilGone);
+    writeFor(world, 0, 5s);
+    CHECK(world.group.primary() == roles.primary);
+    world.group.servers().at(roles.lagging).deaf = false;
+    CHECK(world.timeToWrite(0, 5s));
+    checkRight(world);
+}
