A failing case: a replica that is well and whose entry has lapsed

Cause: a server that has left the list counts neither among those that must be heard nor is it asked, though the primary goes on acknowledging commits by it. Change: a case. Conclusion: open; the case fails on the present code.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -225,3 +225,24 @@
     CHECK(world.group.primary() == roles.whole);
     checkRight(world);
 }
+
+// The replica that has everything is cut off from the store, so that its entry lapses; it receives
+// and answers as before. When the primary crashes it is not asked any more, and the lagging replica
+// is promoted.
+TEST_CASE("A replica whose entry has lapsed still counts for what it has confirmed")
+{
+    World world(107);
+    const Roles roles = writeToOneReplica(world);
+    world.unlist(roles.whole);
+    world.run(untilGone);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(world.timeToWrite(0, 1s));
+        world.run(100ms);
+    }
+    world.group.crash(roles.primary);
+    writeFor(world, 0, 3s);
+    world.relist(roles.whole);
+    writeFor(world, 0, 3s);
+    CHECK(world.group.primary() == roles.whole);
+    checkRight(world);
+}
