A failing case: a replica that comes back under another id

Cause: the old id leaves the list 5.5 s after it is missing, and until the new one is listed nothing tells that the log is there. Change: a case; in the model, a server that comes back with its log under another id.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -246,3 +246,23 @@
     CHECK(world.group.primary() == roles.whole);
     checkRight(world);
 }
+
+// The replica that has everything crashes and is soon back with its log, but under another id that
+// the list tells only seconds later. The primary crashes meanwhile. When the old id has left the
+// list the lagging replica is promoted, without a word from the one that came back.
+TEST_CASE("A replica that comes back under another id still counts for what it has confirmed")
+{
+    World world(108);
+    const Roles roles = writeToOneReplica(world);
+    const ServerName newId = "cases-4";
+    world.group.crash(roles.whole);
+    world.unlist(roles.whole);
+    world.run(500ms);
+    world.group.restartAs(roles.whole, newId);
+    world.group.crash(roles.primary);
+    writeFor(world, 0, untilGone + 1s);
+    world.relist(newId);
+    writeFor(world, 0, 3s);
+    CHECK(world.group.primary() == newId);
+    checkRight(world);
+}
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -374,6 +374,17 @@
         replicate(leader);
 }
 
+void ModelGroup::restartAs(const ServerName &id, const ServerName &newId)
+{
+    ModelServer server = servers_.at(id);
+    server.id = newId;
+    server.run = 0;
+    server.primary = false;
+    server.connections.clear();
+    servers_[newId] = server;
+    restart(newId);
+}
+
 // Replicas receive what the primary has, and apply it later.
 void ModelGroup::replicate(const ServerName &primaryId)
 {
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -81,6 +81,9 @@
     void bounce(const ServerName &id);
     // Comes back with its log.
     void restart(const ServerName &id);
+    // A crashed server comes back with its log at its address, as a replica with another id. Hosts
+    // know it once it is listed.
+    void restartAs(const ServerName &id, const ServerName &newId);
     ServerName primary() const;
 
     // The promotion call of one process; checks the fencing token.
