A failing case: after a change of primary the row names none

Cause: onCandidateReport calls lead(candidate_, ...), which takes the name by reference and clears candidate_; from there on the name is empty, in the row and in onPrimary(). So after any change lastLeader() tells nothing to a later owner. Change: a case. Conclusion: open; the case fails on the present code.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -279,3 +279,59 @@
     CHECK(world.group.primary() == newId);
     checkRight(world);
 }
+
+namespace {
+
+// A world in which the first primary was lost for good and replaced, and a newcomer has come; the
+// store may refuse the row in which the new primary is named. Twenty writes later, which only the
+// newcomer has confirmed, the owner stands still.
+Roles changePrimaryOnce(World &world, bool rowRefused)
+{
+    settle(world);
+    const ServerName first = world.group.primary();
+    world.group.crash(first);
+    world.unlist(first);
+    REQUIRE(world.runUntil(3s, [&] { return world.group.isPromoting(); }));
+    world.store.down = rowRefused;
+    REQUIRE(world.runUntil(3s, [&] { return world.group.promotions == 1; }));
+    world.run(500ms);
+    world.store.down = false;
+    Roles roles;
+    roles.primary = world.group.primary();
+    roles.lagging = roles.primary == "cases-3" ? "cases-2" : "cases-3";
+    roles.whole = "cases-4";
+    world.group.add(roles.whole);
+    world.relist(roles.whole);
+    REQUIRE(world.timeToWrite(0, 5s));
+    world.run(untilGone);
+    writeWithout(world, roles.lagging);
+    return roles;
+}
+
+// Owner and primary are lost together. The next owner hears the lagging replica 100 ms before the
+// one that has everything.
+void loseOwnerAndPrimary(World &world, const Roles &roles)
+{
+    const std::size_t owner = std::size_t(world.owner());
+    const std::size_t next = otherThan(world.owner());
+    world.group.answerDelays[{addressOf(next), roles.whole}] = 100ms;
+    world.freeze(owner, 25s);
+    world.group.crash(roles.primary);
+    world.unlist(roles.primary);
+    writeUntilPromoted(world, next, 20s);
+}
+
+} // namespace
+
+// A primary was replaced long ago, and the row should name the server that leads since. It names
+// none. So when owner and primary are lost together, the next owner does not know who led, and
+// takes the first replica that answers once the primary has left the list.
+TEST_CASE("After a change of primary the row names the new one, for the next owner")
+{
+    World world(109);
+    const Roles roles = changePrimaryOnce(world, false);
+    CHECK(ownerRow(world).primary == roles.primary);
+    loseOwnerAndPrimary(world, roles);
+    CHECK(world.group.primary() == roles.whole);
+    checkRight(world);
+}
