A failing case: a later term without its log

Cause: positions are compared by term and then by number; where a position's term is the one that its server follows, a replica that follows a new primary and has not received its log compares above one that holds the whole log of the term before. Change: a case; in the model, positions by the followed term, and a replica that follows and has received nothing yet. Conclusion: open; the case fails on the present code.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -348,3 +348,41 @@
     CHECK(world.group.primary() == roles.whole);
     checkRight(world);
 }
+
+namespace {
+
+// A world in which the term of a position is the one that its server follows. The primary has
+// crashed, and the replica with all twenty writes leads the next term; the lagging one follows it,
+// and has received nothing more when the new primary crashes, too.
+Roles losePrimaryAndNext(World &world)
+{
+    const Roles roles = writeToOneReplica(world);
+    for (auto &[id, server] : world.group.servers())
+        server.showsFollowedTerm = true;
+    ModelServer &lagging = world.group.servers().at(roles.lagging);
+    lagging.deaf = false;
+    lagging.behind = true;
+    world.group.crash(roles.primary);
+    REQUIRE(world.runUntil(3s, [&] { return world.group.promotions == 1; }));
+    world.run(500ms);
+    REQUIRE(world.group.primary() == roles.whole);
+    REQUIRE(lagging.term == 2);
+    world.group.crash(roles.whole);
+    return roles;
+}
+
+} // namespace
+
+// The first primary is back as a replica, with everything, when the second one crashes. It has not
+// heard of the second term yet, and the lagging replica has: that one's position, of the later term
+// and with less in its log, counts as the higher one.
+TEST_CASE("A later term without its log is no higher position than an earlier term's whole log")
+{
+    World world(111);
+    const Roles roles = losePrimaryAndNext(world);
+    world.group.restart(roles.primary);
+    world.relist(roles.primary);
+    writeUntilPromoted(world, 0, 3s);
+    CHECK(world.group.primary() == roles.primary);
+    checkRight(world);
+}
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -144,16 +144,9 @@
             result.error = ServerError::ReadOnly;
             return false;
         }
-        if (command.after) {
-            const auto held = s.position(s.applied);
-            const bool has = command.after->offset == 0
-                || (command.after->offset <= s.applied
-                    && s.log[command.after->offset - 1].term == command.after->term)
-                || (command.after->offset <= s.applied && command.after->term < held.term);
-            if (!has) {
-                result.error = ServerError::Lagging;
-                return false;
-            }
+        if (command.after && !s.holds(*command.after)) {
+            result.error = ServerError::Lagging;
+            return false;
         }
         return true;
     }
@@ -397,6 +390,9 @@
                 || replica.term > source.term || replicationCuts.count(id) != 0
                 || replicationCuts.count(primaryId) != 0 || replica.stoppedUnder > source.term)
                 continue;
+            replica.term = source.term;
+            if (replica.behind)
+                continue;
             // What the primary does not have is rolled back.
             std::size_t same = 0;
             while (same < replica.log.size() && same < source.log.size()
@@ -407,7 +403,6 @@
             replica.applied = std::min(replica.applied, same);
             replica.log.insert(replica.log.end(), source.log.begin() + long(same),
                                source.log.end());
-            replica.term = source.term;
             const std::size_t length = replica.log.size();
             timers_.subscribeAfter(replica.lag, [&replica, length] {
                 replica.applied = std::min(std::max(replica.applied, length), replica.log.size());
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -39,6 +39,10 @@
     Duration lag {std::chrono::milliseconds(20)};
     // Receives nothing from the primary, though it runs.
     bool deaf = false;
+    // Follows the primary, and has received nothing of its log yet.
+    bool behind = false;
+    // The term of its positions is the one that it follows, not that of the last entry.
+    bool showsFollowedTerm = false;
     bool leaving = false;
     // Its entry is gone from the list, whether it runs or not.
     bool unlisted = false;
@@ -50,8 +54,18 @@
 
     Position position(std::size_t count) const
     {
+        if (showsFollowedTerm)
+            return {term, count};
         return {count == 0 ? 1 : log[count - 1].term, count};
     }
+    // Whether the applied part of the log reaches the position.
+    bool holds(Position needed) const
+    {
+        if (needed.offset == 0 || needed.offset > applied)
+            return needed.offset == 0;
+        return log[needed.offset - 1].term == needed.term || needed.term < position(applied).term
+            || (showsFollowedTerm && needed.term == term);
+    }
 };
 
 // What the servers and their callers are found to have done wrong.
