A failing case: an answer that was long on its way, for the newest position

Cause: what the primary shows 180 ms after the owner before has ended counts as all that was acknowledged; an answer may be on its way for longer, and then tells of a time at which that owner still acknowledged commits. Change: a case. Conclusion: open; the case fails on the present code.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -401,3 +401,40 @@
     CHECK(world.group.promotions == 1);
     checkRight(world);
 }
+
+// An owner that stops ends a transaction after the group has gone to the next owner. That one takes
+// an answer that was long on its way, and older than the commit, for the primary's newest position.
+// When the primary crashes, a replica that lacks the commit counts as holding everything.
+TEST_CASE("A commit of the owner before is known though the primary's answers come late")
+{
+    World world(113);
+    settle(world);
+    const ServerName primary = world.group.primary();
+    const ServerName lagging = "cases-2";
+    const ServerName whole = "cases-3";
+    REQUIRE(primary == "cases-1");
+    const std::size_t stopping = std::size_t(world.owner());
+    constexpr std::uint64_t session = 9001;
+    const auto begun = world.begin(stopping, session);
+    REQUIRE(world.runUntil(1s, [&] { return begun->done; }));
+    world.drain(stopping);
+    REQUIRE(world.runUntil(2s, [&] { return world.owner() != int(stopping); }));
+    const std::size_t next = std::size_t(world.owner());
+    world.run(50ms);
+    // The write is answered before the commit, and the answer comes long after it.
+    world.group.answerDelays[{addressOf(next), primary}] = 600ms;
+    const auto write = world.write(next);
+    world.run(10ms);
+    world.group.servers().at(lagging).deaf = true;
+    const auto committed = world.commit(stopping, session);
+    REQUIRE(world.runUntil(100ms, [&] { return committed->done; }));
+    REQUIRE(committed->result.reason == Reason::None);
+    REQUIRE(world.runUntil(1s, [&] { return write->done; }));
+    REQUIRE(write->result.reason == Reason::None);
+    world.run(50ms);
+    world.group.answerDelays[{addressOf(next), whole}] = 200ms;
+    world.group.crash(primary);
+    writeUntilPromoted(world, next, 3s);
+    CHECK(world.group.primary() == whole);
+    checkRight(world);
+}
