A failing case: a refused row brings the replaced primary back

Cause: by a row that was never written after the lead, the server that led is a candidate; once it says that it is no primary the next owner takes it for one that never led, and the old primary, of the row's term, may lead. Change: a case.

No functional change

--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -438,3 +438,34 @@
     CHECK(world.group.primary() == whole);
     checkRight(world);
 }
+
+// The same row, while the old primary was only cut off and still takes itself for one. The new
+// primary starts again as a replica: by the row it is a candidate that never led, and so the next
+// owner goes back to the old primary, which lacks everything acknowledged since.
+TEST_CASE("A row that the store refused does not bring the replaced primary back")
+{
+    World world(114);
+    settle(world);
+    const ServerName old = world.group.primary();
+    const std::size_t owner = std::size_t(world.owner());
+    const std::size_t next = otherThan(world.owner());
+    world.group.replicationCuts.insert(old);
+    world.group.cuts.insert({addressOf(owner), old});
+    REQUIRE(world.runUntil(5s, [&] { return world.group.isPromoting(); }));
+    world.store.down = true;
+    REQUIRE(world.runUntil(3s, [&] { return world.group.promotions == 1; }));
+    world.run(500ms);
+    world.store.down = false;
+    for (int i = 0; i < 10; ++i)
+        REQUIRE(world.timeToWrite(owner, 5s));
+    world.kill(owner);
+    const ServerName led = world.group.primary();
+    world.group.bounce(led);
+    world.group.servers().at(led).primary = false;
+    world.relist(led);
+    for (int i = 0; i < 400; ++i) {
+        world.read(next, inner::ReadRule::Newest);
+        world.run(20ms);
+    }
+    checkRight(world);
+}
