Model world: a network that refuses connections

Cause: the model knew cuts that stay silent only, so that no test could show a host that is alive and whose address refuses. Change: World::refuseLinks() ends a host's links and answers probes of its address, and by it, with a refusal; World::cutFromStore() takes the store from one host; World::ownership() shows what one host believes of owners. A replica that receives again catches up at once, as after a restart, in place of at the next commit.

No functional change

--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -183,6 +183,7 @@
             break;
         case CommandKind::ResumeReceiving:
             s.stoppedUnder = 0;
+            group_.catchUp();
             break;
         case CommandKind::StepDown:
             if (s.primary && s.term < command.term)
@@ -362,6 +363,12 @@
     for (const auto &[other, each] : servers_)
         if (other != id && each.primary && each.term > server.term)
             server.primary = false;
+    catchUp();
+}
+
+// Replicas that receive again ask for what they lack.
+void ModelGroup::catchUp()
+{
     const ServerName leader = primary();
     if (!leader.empty())
         replicate(leader);
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -130,6 +130,7 @@
 
     const std::vector<LogEntry> &newestLog() const;
     void replicate(const ServerName &primaryId);
+    void catchUp();
     void lead(const ServerName &id);
     void confirm(const ServerName &primaryId);
 
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -80,7 +80,14 @@
     std::size_t sessions = 0;
     bool isCut = false;
     bool linksCut = false;
-    bool isAlone() const { return isCut || linksCut; }
+    bool linksRefused = false;
+    bool isAlone() const { return isCut || linksCut || linksRefused; }
+    // How a probe by another host ends that is not cut off from this one.
+    ProbeOutcome probedBy(const ModelHost &other) const
+    {
+        const bool refused = !up || linksRefused || other.linksRefused;
+        return refused ? ProbeOutcome::Refused : ProbeOutcome::Accepted;
+    }
     std::unique_ptr<group::ServerConnector> connector;
     std::map<std::uint64_t, std::function<void(absl::Status)>> hanging;
     std::uint64_t lastHanging = 0;
@@ -293,7 +300,7 @@
                 outcome = ProbeOutcome::Accepted;
             for (const auto &host : world.hosts)
                 if (host && host->address == endpoint && !host->isCut && !isCut)
-                    outcome = host->up ? ProbeOutcome::Accepted : ProbeOutcome::Refused;
+                    outcome = host->probedBy(*this);
             const Duration delay = outcome == ProbeOutcome::Silent ? timeout : linkDelay;
             timers.subscribeAfter(delay, [callback, outcome] { callback(outcome); });
         },
@@ -527,9 +534,11 @@
 {
     ++lastRun_;
     const bool wasCut = hosts[host]->isCut;
+    const bool wasRefused = hosts[host]->linksRefused;
     dead_.push_back(std::move(hosts[host]));
     hosts[host] = std::make_unique<ModelHost>(*this, host, lastRun_);
     hosts[host]->isCut = wasCut;
+    hosts[host]->linksRefused = wasRefused;
 }
 
 void World::freeze(std::size_t host, Duration time)
@@ -546,11 +555,15 @@
 
 void World::resetLinks()
 {
-    for (const auto &host : hosts) {
-        const auto ends = host->links->ends;
-        for (const auto &[link, to] : ends)
-            host->links->end(link, to);
-    }
+    for (const auto &host : hosts)
+        endLinks(*host);
+}
+
+void World::endLinks(ModelHost &host)
+{
+    const auto ends = host.links->ends;
+    for (const auto &[link, to] : ends)
+        host.links->end(link, to);
 }
 
 void World::cut(std::size_t host, bool isCut)
@@ -569,6 +582,26 @@
     hosts[host]->linksCut = isCut;
 }
 
+void World::refuseLinks(std::size_t host, bool refused)
+{
+    hosts[host]->linksRefused = refused;
+    if (refused)
+        endLinks(*hosts[host]);
+}
+
+void World::cutFromStore(std::size_t host, bool isCut)
+{
+    if (isCut)
+        store.cut.insert(address(host));
+    else
+        store.cut.erase(address(host));
+}
+
+std::string World::address(std::size_t host) const
+{
+    return hosts[host]->address;
+}
+
 int World::owner() const
 {
     const auto table = store.tables.find("kelptally_owners");
@@ -617,6 +650,11 @@
                     host->process->servers().onListed(server);
 }
 
+const kelptally::group::OwnershipTable &World::ownership(std::size_t host) const
+{
+    return hosts[host]->process->groups().ownership();
+}
+
 kelptally::group::ServerList &World::servers(std::size_t host)
 {
     return hosts[host]->process->servers();
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -67,6 +67,12 @@
     void cut(std::size_t host, bool cut);
     // The host reaches no other host, and the store and the servers as before.
     void cutLinks(std::size_t host, bool cut);
+    // The same, by a network that refuses connections: its open links end, and a probe of its
+    // address, or by it, is answered as if nothing listened, though the process lives.
+    void refuseLinks(std::size_t host, bool refused);
+    // The store does not answer the host; all else is as before.
+    void cutFromStore(std::size_t host, bool cut);
+    std::string address(std::size_t host) const;
     bool isUp(std::size_t host) const;
     // Index of the host that owns the group by the store's row; -1 when none.
     int owner() const;
@@ -75,6 +81,8 @@
     void list();
     // The same for one server.
     void relist(const ServerName &id);
+    // What one host knows of owners.
+    const kelptally::group::OwnershipTable &ownership(std::size_t host) const;
     // What one host knows of servers; and its configuration, which names one group more from then
     // on.
     kelptally::group::ServerList &servers(std::size_t host);
@@ -122,6 +130,7 @@
     std::set<inner::LinkId> silentLinks;
 
 private:
+    void endLinks(ModelHost &host);
     inner::RunStatement statement(const std::string &id);
     OutcomePtr change(std::size_t host, inner::RunStatement statement);
     // What hosts are configured with.
