--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -4,8 +4,8 @@
 
 // In one run a promotion lost sixteen acknowledged commits, though another known replica had them.
 // An owner counted as "all replicas" whatever its list named at the moment. It let one more be
-// missing when it did not know who had led last, and after a change of primary it never knew, as the
-// row then named nobody:
+// missing when it did not know who had led last, and after a change of primary it never knew, as
+// the row then named nobody:
 //   {"epoch":2,"primary":"","term":2,"candidate":""}
 // The entry of a crashed primary lapses, and with it gone the first of two replicas to answer was
 // promoted, while the other one, at 1.21, answered 100 ms later:
