An owner counts as ended by its own word, its next run or its lease, and whoever hands over is named

Cause: a refused connection to an earlier owner's address counted as proof of its end. Where a network refuses, that owner lives behind it, serves on under its lease, and lets replicas receive again that the next owner has stopped: commits are acknowledged which the promoted server lacks. A hand-over wrote the next owner into the row without the giver; a receiver that did not know it held itself for alone. Change: the probe is gone from the proof (it still lets a host claim, which is harmless). A hand-over names the giver with its guard, by the service's clock as rows tell it. Claims and hand-overs share the code. Cost: owner and primary lost together wait up to 12 s if the owner's process does not start again, as they did already for a host without power; one that starts again ends the wait as before.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -233,7 +233,7 @@
     parts_.probe(now->process.address, [this, group, epoch = suspect.epoch](bool refused) {
         const auto still = owner(group);
         if (refused && still && still->epoch == epoch)
-            planClaim(group, provenEnded, claimDelay(group));
+            planClaim(group, nothingListens, claimDelay(group));
     });
 }
 
@@ -268,7 +268,8 @@
     if (!claiming_ || entry.writing || entry.record.epoch != seen)
         return;
     // Planned before the service came back.
-    const bool isProven = why == asked || why == restarted || why == unowned || why == provenEnded;
+    const bool isProven =
+        why == asked || why == restarted || why == unowned || why == nothingListens;
     if (!isProven && parts_.timers.now() < suspectAfter_) {
         entry.claimAfter = suspectAfter_;
         return;
@@ -280,8 +281,11 @@
         return;
     }
     entry.writing = true;
-    parts_.table.read(table, group, [this, group, seen, why](auto row) {
+    const Instant sent = parts_.timers.now();
+    parts_.table.read(table, group, [this, group, seen, why, sent](auto row) {
         Entry &entry = entries_[group];
+        if (row.ok() && *row)
+            noteServiceTime(**row, sent);
         if (!row.ok()) {
             entry.writing = false;
             entry.claimAfter = parts_.timers.now() + claimPause;
@@ -314,9 +318,10 @@
     const bool deadRun = before.owner.address == parts_.self.address;
     if (!before.owner.address.empty() && !deadRun) {
         const bool isGuarded = before.guardedUntil > serviceTime;
-        record.earlier = decision::EarlierOwners::listWith(before.earlier, isGuarded,
-                                                           {before.owner, before.epoch});
-        record.guardedUntil = serviceTime + claimTime + lease + clockMargin;
+        const std::vector<decision::EarlierOwner> unnamed(1);
+        const auto &listed = before.earlier.empty() ? unnamed : before.earlier;
+        nameEarlier(record, isGuarded ? listed : std::vector<decision::EarlierOwner>(),
+                    {before.owner, before.epoch}, serviceTime);
     }
     entries_[group].claimedAsked = why == asked;
     parts_.log.info("claim", why)
@@ -341,6 +346,30 @@
           });
 }
 
+// Owners before the next one, and until when they may act.
+void OwnershipTable::nameEarlier(OwnershipRecord &record,
+                                 const std::vector<decision::EarlierOwner> &open,
+                                 const decision::EarlierOwner &before, Duration serviceTime)
+{
+    record.earlier = decision::EarlierOwners::listWith(open, !open.empty(), before);
+    record.guardedUntil = serviceTime + claimTime + lease + clockMargin;
+}
+
+void OwnershipTable::noteServiceTime(const services::TableRow &row, Instant asked)
+{
+    if (!row.serviceTime)
+        return;
+    serviceTime_ = *row.serviceTime;
+    serviceTimeAsked_ = asked;
+}
+
+std::optional<Duration> OwnershipTable::serviceTime() const
+{
+    if (!serviceTime_)
+        return std::nullopt;
+    return *serviceTime_ + (parts_.timers.now() - serviceTimeAsked_);
+}
+
 // Leases count from now on; the time of the claim itself is on the safe side for those before.
 void OwnershipTable::acquire(const GroupName &group, const OwnershipRecord &record,
                              const std::string &etag, const OwnershipRecord &before,
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -119,15 +119,15 @@
     // Why a group is claimed: its owner has asked for it.
     static constexpr const char *asked = "asked";
     // Or nobody owns it, or an earlier run of this process did, or nothing listens at the owner's
-    // address. Anything else is a suspicion.
+    // address: enough to claim, no proof that the owner has ended. Anything else is a suspicion.
     static constexpr const char *unowned = "unowned";
     static constexpr const char *restarted = "restarted";
-    static constexpr const char *provenEnded = "nothing_listens";
+    static constexpr const char *nothingListens = "nothing_listens";
     static constexpr const char *linkDown = "link_down";
     // An owner acts this long after it asked for its row and found it unchanged. Longer than the
     // outages of the store that are usual, so that service goes on through them; it delays a change
-    // of primary only when owner and primary are lost together and the owner's end cannot be
-    // proven.
+    // of primary only when owner and primary are lost together and the owner neither says that it
+    // has ended nor starts again.
     static constexpr Duration lease = std::chrono::seconds(12);
     // Clocks of two hosts may run apart by this over one lease: 1%, far above any real drift.
     static constexpr Duration clockMargin = std::chrono::milliseconds(120);
@@ -182,11 +182,17 @@
     void renewOne(const GroupName &group);
     void offerWithoutRoom();
     void askPredecessors();
-    void askWhetherEnded(const GroupName &group, const decision::EarlierOwner &owner);
+    void askWhetherEnded(const decision::EarlierOwner &owner, const GroupName &group);
     // Links of this table's own, to these processes and no others.
     void keepDialled(const std::set<std::string> &addresses);
     bool mayAsk(const GroupName &group);
     void clearGuard(const GroupName &group);
+    void noteServiceTime(const services::TableRow &row, Instant asked);
+    // At the latest; nothing when it was never told.
+    std::optional<Duration> serviceTime() const;
+    static void nameEarlier(OwnershipRecord &record,
+                            const std::vector<decision::EarlierOwner> &open,
+                            const decision::EarlierOwner &before, Duration serviceTime);
     void onEarlierEnded(const GroupName &group, const std::string &address,
                         const std::string &proof);
 
@@ -199,6 +205,9 @@
     // Until then silence of an owner is no reason to claim its group.
     Instant suspectAfter_ {};
     std::set<std::string> dialled_;
+    // The service's clock as a row told it, and when that row was asked for.
+    std::optional<Duration> serviceTime_;
+    Instant serviceTimeAsked_ {};
     services::TableFollower follower_;
 };
 
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -127,6 +127,7 @@
         }
         if (entry.record.epoch != epoch)
             return;
+        noteServiceTime(**row, sent);
         entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
         if (!entry.writing)
             entry.etag = (*row)->etag;
@@ -150,7 +151,7 @@
             if (!owner.isNamed())
                 continue;
             asked.insert(owner.process.address);
-            askWhetherEnded(group, owner);
+            askWhetherEnded(owner, group);
         }
     }
     keepDialled(asked);
@@ -158,15 +159,13 @@
         parts_.timers.subscribeAfter(predecessorPeriod, [this] { askPredecessors(); });
 }
 
-void OwnershipTable::askWhetherEnded(const GroupName &group, const decision::EarlierOwner &owner)
+// Its own word is a proof of its end, or another run at its address, or its lease. A refused
+// connection is none: a cut may refuse, and behind it the owner serves on and lets replicas receive
+// again that were stopped here.
+void OwnershipTable::askWhetherEnded(const decision::EarlierOwner &owner, const GroupName &group)
 {
-    const ProcessId process = owner.process;
-    static_cast<void>(
-        parts_.links.sendTo(process.address, inner::OwnershipEndRequest {group, owner.epoch}));
-    parts_.probe(process.address, [this, group, process](bool refused) {
-        if (refused && entries_[group].earlier.onEnded(process))
-            onEarlierEnded(group, process.address, "nothing_listens");
-    });
+    static_cast<void>(parts_.links.sendTo(owner.process.address,
+                                          inner::OwnershipEndRequest {group, owner.epoch}));
 }
 
 void OwnershipTable::keepDialled(const std::set<std::string> &addresses)
--- a/src/group/ownershipwrites.cpp
+++ b/src/group/ownershipwrites.cpp
@@ -143,7 +143,14 @@
     Entry &entry = entries_[group];
     if (!owns(group) || entry.writing)
         return callback(absl::UnavailableError("not the owner, or a change is under way"));
+    const auto time = serviceTime();
+    if (!time)
+        return callback(absl::UnavailableError("the service has not told its time yet"));
     OwnershipRecord record = entry.record;
+    // The next owner may not know who was it until now, and this one may hear late that it is none
+    // any more: so the row names it.
+    nameEarlier(record, entry.earlier.open(parts_.timers.now()),
+                {entry.record.owner, entry.record.epoch}, *time);
     record.epoch += 1;
     record.owner = to;
     record.zone = zone;
--- a/tests/host/ownerproof_test.cpp
+++ b/tests/host/ownerproof_test.cpp
@@ -7,9 +7,9 @@
 // ended, and replaced the primary:
 //   predecessor_ended nothing_listens alone=true
 // The one before it was alive, with its lease and without the store. Its commits hung, as all
-// replicas had been stopped; after 250 ms it let the one that it reached receive again, and sixteen
-// commits were acknowledged in one burst 5 ms before the other replica led without them. The same
-// follows where a group was handed over and the next owner does not know by whom.
+// replicas had been stopped; after 250 ms it let the one that it reached receive again, and all
+// that hung were acknowledged in one burst, 5 ms before the other replica led without them. The
+// same follows where a group was handed over and the next owner does not know by whom.
 using namespace kelptally;
 using namespace kelptally::model;
 using namespace std::chrono_literals;
