The promoted log holds everything acknowledged: whoever may hold commits counts, listed or not

Cause: 'all replicas were heard' was counted over what an owner's list named at the moment, one fewer if it did not know who had led last, and reports of servers that had left counted, too. After every change of primary nobody was known: lead() took the candidate's name by reference and cleared it, so that the row named no primary, and a row that the store refused was never written again. A choice was made below an acknowledgement that the owner itself had passed on. Stops of earlier owners do not count. What the primary holds is asked for after earlier owners' end, not taken from answers on their way. promotion_waits says each second why nothing is promoted. Cost: one row more when servers of a group have come or gone, once a second at most.

--- /dev/null
+++ b/src/decision/logholders.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kelptally::decision {
+
+// A server of a group whose log may hold acknowledged commits.
+struct LogHolder
+{
+    ServerName server;
+    // "ip:port". A server that crashed comes back there with its log, also under another id.
+    std::string endpoint;
+};
+
+bool operator==(const LogHolder &a, const LogHolder &b);
+
+// Which servers may hold commits that were acknowledged in a group, whatever the list of servers
+// says at the moment.
+//
+// A commit is acknowledged once a second server has received it, and that one may leave the list
+// right afterwards: it has crashed, its entry has lapsed, or this process has just started and has
+// not heard of it. A choice among the listed ones alone then promotes a server that lacks the
+// commit. So a server that has left the list stays a holder until another one is seen to hold all
+// that the primary had after it had left, or until a server at its address takes its place.
+class LogHolders
+{
+public:
+    // Begins with those that the group's row names.
+    void begin(const std::vector<LogHolder> &named, Instant now);
+    void onListed(const std::vector<LogHolder> &listed, Instant now);
+
+    // The primary was asked then, and held this.
+    void onPrimaryHeld(Position position, Instant asked);
+    // A listed replica of the same term holds all up to this.
+    void onReplicaHeld(Position position);
+    // Another primary leads: what replicas have to hold is learnt anew.
+    void onPrimary();
+
+    // Those that the list does not name.
+    const std::vector<LogHolder> &vanished() const { return vanished_; }
+    // All, in a fixed order, as the row names them.
+    std::vector<LogHolder> all() const;
+
+private:
+    void dropReplaced();
+
+    std::vector<LogHolder> listed_;
+    std::vector<LogHolder> vanished_;
+    // When the last of them left, and what the primary held after that.
+    Instant vanishedAt_ {};
+    std::optional<Position> heldSince_;
+};
+
+} // namespace kelptally::decision
--- /dev/null
+++ b/src/decision/replicachoice.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <optional>
+#include <vector>
+
+namespace kelptally::decision {
+
+// One server that may hold acknowledged commits, as the owner knows it when the primary is lost.
+struct ReplicaState
+{
+    ServerName server;
+    // What it held once it had been stopped from receiving, by this owner and in this change;
+    // nothing as long as it has not said so.
+    std::optional<Position> held;
+    // Leaving, or it has failed as a candidate: taken only if no other holds as much.
+    bool avoided = false;
+};
+
+// What is known when a primary has been lost and the next one is chosen.
+struct ChoiceState
+{
+    // All that may hold acknowledged commits, but for the last leader where it is known.
+    std::vector<ReplicaState> replicas;
+    // The last leader is known, and not among the replicas.
+    bool leaderKnown = false;
+    // Everything up to the first position has been acknowledged, as far as is known, and nothing
+    // above the second one; nothing when the one or the other is not known.
+    std::optional<Position> acknowledgedAtLeast;
+    std::optional<Position> acknowledgedAtMost;
+    // Where the newest known term began: the last leader's position when it was promoted. A
+    // server may show that term and not yet have received what it began with.
+    std::optional<Position> termBegan;
+    // Since the replicas were first told to stop.
+    Duration waited {0};
+};
+
+// Why a server was taken, or none.
+enum class ChoiceRule {
+    // Everything acknowledged is in one of the logs that were compared.
+    AllHeard,
+    // Some are unheard, and the one taken holds all that has been acknowledged.
+    HoldsAll,
+    // Too few have said what they hold.
+    TooFewHeard,
+    // What is known to have been acknowledged is in none of the logs that were compared.
+    AcknowledgedMissing,
+};
+
+const char *ruleName(ChoiceRule rule);
+
+struct ReplicaChoice
+{
+    ChoiceRule rule = ChoiceRule::TooFewHeard;
+    // Empty unless the rule allows one.
+    ServerName server;
+    // The highest position that was compared.
+    std::optional<Position> held;
+};
+
+// The replica to promote for a lost primary, so that no acknowledged commit is lost.
+//
+// Each acknowledged commit was in the leader's log and in one more, and no more are acknowledged
+// once all replicas have stopped and no other owner can let them receive again. So it is in one of
+// any set that leaves out one holder at most: the last leader if it is known, else anyone. The
+// highest position of such a set has it. With more unheard the same follows only from knowing every
+// acknowledgement. In no case is a server taken that lacks one that is known.
+ReplicaChoice chooseReplica(const ChoiceState &state);
+
+} // namespace kelptally::decision
--- a/src/group/ownershiprecord.cpp
+++ b/src/group/ownershiprecord.cpp
@@ -21,6 +21,7 @@
     writer.member("zone", record.zone);
     writer.member("primary", record.primary);
     writer.member("term", record.term);
+    writer.member("term_began", record.termBegan);
     writer.member("candidate", record.candidate);
     writer.member("other_candidates", record.otherCandidates);
     writer.member("primary_serves", record.primaryServes);
@@ -36,6 +37,16 @@
         writer.endObject();
     }
     writer.endArray();
+    writer.key("holders").beginArray();
+    for (const decision::LogHolder &holder : record.holders) {
+        writer.beginObject();
+        writer.member("server", holder.server);
+        writer.member("endpoint", holder.endpoint);
+        writer.endObject();
+    }
+    writer.endArray();
+    writer.member("acknowledged_term", record.acknowledged.term);
+    writer.member("acknowledged_offset", record.acknowledged.offset);
     writer.endObject();
     return writer.take();
 }
@@ -65,6 +76,28 @@
     return owners;
 }
 
+std::vector<decision::LogHolder> holdersOf(FieldReader &fields)
+{
+    std::vector<decision::LogHolder> holders;
+    const JsonValue *list = fields.has("holders") ? fields.list("holders") : nullptr;
+    if (list == nullptr)
+        return holders;
+    for (const JsonValue &each : list->items) {
+        FieldReader holder(each);
+        holders.push_back({holder.text("server"), holder.text("endpoint")});
+        if (holder.error())
+            fields.refuse("holders", holder.error()->fault);
+    }
+    return holders;
+}
+
+Position acknowledgedOf(FieldReader &fields)
+{
+    if (!fields.has("acknowledged_term"))
+        return {};
+    return {fields.whole("acknowledged_term"), fields.whole("acknowledged_offset")};
+}
+
 } // namespace
 
 absl::StatusOr<OwnershipRecord> decodeOwnership(const std::string &text)
@@ -80,12 +113,15 @@
     record.zone = fields.has("zone") ? fields.text("zone") : std::string();
     record.primary = fields.text("primary");
     record.term = fields.whole("term");
+    record.termBegan = fields.has("term_began") ? fields.whole("term_began") : 0;
     record.candidate = fields.text("candidate");
     record.otherCandidates = fields.has("other_candidates") && fields.flag("other_candidates");
     record.primaryServes = fields.has("primary_serves") && fields.flag("primary_serves");
     record.leadTime = millisecondsIn(fields, "lead_ms");
     record.guardedUntil = millisecondsIn(fields, "guarded_until_ms");
     record.earlier = earlierOf(fields);
+    record.holders = holdersOf(fields);
+    record.acknowledged = acknowledgedOf(fields);
     if (fields.error())
         return absl::InvalidArgumentError(fields.error()->toText());
     return record;
--- a/src/group/ownershiprecord.h
+++ b/src/group/ownershiprecord.h
@@ -2,6 +2,7 @@
 
 #include "core/types.h"
 #include "decision/earlierowners.h"
+#include "decision/logholders.h"
 
 #include <absl/status/statusor.h>
 
@@ -21,6 +22,8 @@
     // a replaced one.
     ServerName primary;
     Term term = 0;
+    // What the primary held when its term began; 0 when that is not known.
+    LogOffset termBegan = 0;
     // Named before the platform is told to promote it; it may lead at any moment from then on.
     ServerName candidate;
     // Another one had been named before it in the same change, and may lead or have led, too.
@@ -34,6 +37,11 @@
     Duration guardedUntil {0};
     // Which these are; meaningless when nothing is guarded.
     std::vector<decision::EarlierOwner> earlier;
+    // Servers that may hold acknowledged commits, as the owner knew them when it wrote last; empty
+    // in rows of earlier versions.
+    std::vector<decision::LogHolder> holders;
+    // What was known to have been acknowledged then; term 0 when nothing was.
+    Position acknowledged;
 };
 
 std::string encodeOwnership(const OwnershipRecord &record);
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -22,6 +22,8 @@
 // The store takes a change within this time also when it is slow; longer means that it may turn
 // this process away.
 constexpr Duration recordTime = std::chrono::milliseconds(600);
+// The log tells this often why nothing is promoted.
+constexpr Duration waitingNoted = std::chrono::seconds(1);
 // Without a primary for this long, and unable to change it, the owner looks for one that reaches
 // it.
 constexpr Duration reachAfter = std::chrono::milliseconds(600);
@@ -92,8 +94,9 @@
             const bool stop =
                 !isOld && mayChange && (!planned_ || (!candidate_.empty() && id != candidate_));
             ask(*server, stop ? CommandKind::StopReceiving : CommandKind::Report, stopTerm_,
-                reportTimeout,
-                [this, id = id, now](const ServerReport &report) { onStopped(id, report, now); });
+                reportTimeout, [this, id = id, now, stop](const ServerReport &report) {
+                    onStopped(id, report, now, stop);
+                });
         }
     }
     if (mayChange)
@@ -142,7 +145,8 @@
     enter(Step::Leading);
 }
 
-void PrimaryKeeper::onStopped(const ServerName &server, const ServerReport &report, Instant asked)
+void PrimaryKeeper::onStopped(const ServerName &server, const ServerReport &report, Instant asked,
+                              bool toldToStop)
 {
     if (step_ != Step::StoppingReplicas)
         return;
@@ -170,7 +174,8 @@
             candidate_ = server;
     } else if (planned_ && server == candidate_) {
         stopped_[server] = report;
-    } else if (report.stoppedUnder >= stopTerm_) {
+    } else if (toldToStop && report.stoppedUnder >= stopTerm_) {
+        // One that another owner has stopped may be let go by it again.
         stopped_[server] = report;
     } else if (report.stoppedUnder != 0 || report.term >= stopTerm_) {
         stopTerm_ = highestTerm_ + 1;
@@ -211,54 +216,87 @@
     if (step_ != Step::StoppingReplicas || !parts_.ownership.leaseHolds(group_)
         || !parts_.ownership.isAlone(group_))
         return;
-    if (planned_) {
-        // The candidate must hold what the others acknowledged before they stopped: the old
-        // primary's position after that.
-        const auto old = stopped_.find(oldPrimary_);
-        const auto next = stopped_.find(candidate_);
-        if (candidate_.empty() || !othersHaveStopped())
-            return;
-        if (old == stopped_.end() || next == stopped_.end())
-            return;
-        if (next->second.received < old->second.received) {
-            stopped_.erase(next);
-            return;
-        }
-        return recordCandidate();
+    if (planned_)
+        return chooseForPlannedChange();
+    const decision::ReplicaChoice choice = decision::chooseReplica(choiceState(now));
+    if (choice.server.empty())
+        return noteWaiting(choice, now);
+    candidate_ = choice.server;
+    recordCandidate(decision::ruleName(choice.rule));
+}
+
+// The candidate must hold what the others acknowledged before they stopped: the old primary's
+// position after that.
+void PrimaryKeeper::chooseForPlannedChange()
+{
+    const auto old = stopped_.find(oldPrimary_);
+    const auto next = stopped_.find(candidate_);
+    if (candidate_.empty() || !othersHaveStopped())
+        return;
+    if (old == stopped_.end() || next == stopped_.end())
+        return;
+    if (next->second.received < old->second.received) {
+        stopped_.erase(next);
+        return;
     }
-    // Every acknowledged commit is in two logs: the one of the server that led and another. So the
-    // highest position among all but one server holds them all, and that one is the last leader
-    // where it is known. With more unheard it does so only if it reaches the highest
-    // acknowledgement, and all passed here.
-    const ServerReport *best = nullptr;
-    std::size_t replicas = 0;
-    // One that failed as a candidate still counts by its position: if it holds the most, it is the
-    // one again.
-    const auto preferred = [this](const ServerName &id) {
-        return excluded_.count(id) == 0 && !servers_.at(id)->listed().leaving;
-    };
+    recordCandidate("planned");
+}
+
+// All that may hold acknowledged commits count, not only those that the list names now.
+decision::ChoiceState PrimaryKeeper::choiceState(Instant now) const
+{
+    decision::ChoiceState state;
+    state.leaderKnown = !oldPrimary_.empty();
+    state.acknowledgedAtLeast = surelyAcknowledged();
+    if (knowsAll_)
+        state.acknowledgedAtMost = acknowledged_;
+    state.waited = inStep(now);
+    if (const OwnershipRecord *record = parts_.ownership.record(group_))
+        if (record->termBegan != 0)
+            state.termBegan = Position {record->term, record->termBegan};
     for (const auto &[id, server] : servers_) {
         if (id == oldPrimary_)
             continue;
-        ++replicas;
-        const auto found = stopped_.find(id);
-        if (found == stopped_.end())
-            continue;
-        const Position received = found->second.received;
-        const bool better = best == nullptr || best->received < received
-            || (best->received == received && !preferred(candidate_) && preferred(id));
-        if (!better)
-            continue;
-        best = &found->second;
-        candidate_ = id;
+        decision::ReplicaState replica;
+        replica.server = id;
+        const auto report = stopped_.find(id);
+        if (report != stopped_.end())
+            replica.held = report->second.received;
+        // One that failed as a candidate still counts by its position: if it holds the most, it is
+        // the one again.
+        replica.avoided = excluded_.count(id) != 0 || server->listed().leaving;
+        state.replicas.push_back(std::move(replica));
     }
-    if (best == nullptr)
+    for (const decision::LogHolder &holder : holders_.vanished())
+        if (holder.server != oldPrimary_)
+            state.replicas.push_back({holder.server, std::nullopt, true});
+    return state;
+}
+
+// Here, or by what an earlier owner left in the row.
+std::optional<Position> PrimaryKeeper::surelyAcknowledged() const
+{
+    std::optional<Position> known = acknowledgedAtLeast_;
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    if (record != nullptr && record->acknowledged.term != 0
+        && (!known || *known < record->acknowledged))
+        known = record->acknowledged;
+    return known;
+}
+
+// Nothing is promoted that may lack something acknowledged, however long that takes.
+void PrimaryKeeper::noteWaiting(const decision::ReplicaChoice &choice, Instant now)
+{
+    if (inStep(now) < waitingNoted || now - waitingNotedAt_ < waitingNoted)
         return;
-    const bool allHeard = stopped_.size() + (oldPrimary_.empty() ? 1 : 0) >= replicas;
-    const bool holdsAll = knowsAll_ && acknowledged_ && *acknowledged_ <= best->received;
-    constexpr Duration waitForAll = std::chrono::milliseconds(60);
-    if (allHeard || (holdsAll && inStep(now) >= waitForAll))
-        recordCandidate();
+    waitingNotedAt_ = now;
+    const auto known = surelyAcknowledged();
+    parts_.log.warning("promotion_waits", decision::ruleName(choice.rule))
+        .with("group", group_)
+        .with("old_primary", oldPrimary_)
+        .with("held", choice.held ? positionText(*choice.held) : std::string("-"))
+        .with("acknowledged", known ? positionText(*known) : std::string("-"))
+        .with("unheard", unheard());
 }
 
 // The old primary answers again, or another one leads: everything goes on there.
@@ -273,7 +311,7 @@
     look();
 }
 
-// Servers of the list whose logs the choice does not know, and what is known of each.
+// Servers whose logs the choice does not know, and what is known of each.
 std::string PrimaryKeeper::unheard() const
 {
     std::string text;
@@ -286,17 +324,19 @@
                                                : "listed";
         text += (text.empty() ? "" : " ") + id + "=" + state;
     }
+    for (const decision::LogHolder &holder : holders_.vanished())
+        text += (text.empty() ? "" : " ") + holder.server + "=vanished";
     return text;
 }
 
-void PrimaryKeeper::recordCandidate()
+void PrimaryKeeper::recordCandidate(const char *rule)
 {
     if (parts_.timers.now() < recordAfter_)
         return;
     std::string positions;
     for (const auto &[id, report] : stopped_)
         positions += (positions.empty() ? "" : " ") + id + "=" + positionText(report.received);
-    parts_.log.info("candidate_chosen")
+    parts_.log.info("candidate_chosen", rule)
         .with("group", group_)
         .with("candidate", candidate_)
         .with("old_primary", oldPrimary_)
@@ -315,8 +355,10 @@
     });
     parts_.ownership.change(
         group_,
-        [candidate, term, serves](OwnershipRecord &row) {
+        [this, candidate, term, serves, acknowledged = surelyAcknowledged()](OwnershipRecord &row) {
             row.primaryServes = serves;
+            row.holders = holders_.all();
+            row.acknowledged = acknowledged.value_or(Position());
             row.otherCandidates =
                 row.otherCandidates || (!row.candidate.empty() && row.candidate != candidate);
             row.candidate = candidate;
@@ -477,7 +519,7 @@
     primary_.clear();
     if (!old.empty())
         events_.onPrimaryLost(old);
-    lead(candidate_, report.term);
+    lead(candidate_, report.term, report.received.offset);
 }
 
 } // namespace kelptally::group
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -25,6 +25,8 @@
 constexpr Duration othersWithin = std::chrono::milliseconds(500);
 // A listed primary that can't be reached is given this long before it counts as lost.
 constexpr Duration lookFor = std::chrono::milliseconds(450);
+// Between two writes of the row that no caller waits for: servers come and go a few at a time.
+constexpr Duration rowPause = std::chrono::seconds(1);
 
 const char *stepName(int step)
 {
@@ -34,6 +36,12 @@
     return names[step];
 }
 
+void raise(std::optional<Position> &position, Position to)
+{
+    if (!position || *position < to)
+        position = to;
+}
+
 const char *commandName(CommandKind kind)
 {
     switch (kind) {
@@ -98,9 +106,13 @@
     knowsAll_ = false;
     aloneSince_ = Instant();
     acknowledged_.reset();
+    acknowledgedAtLeast_.reset();
     candidateIdle_ = false;
-    if (const OwnershipRecord *record = parts_.ownership.record(group_))
+    leadUnrecorded_ = false;
+    if (const OwnershipRecord *record = parts_.ownership.record(group_)) {
         noteTerm(record->term);
+        holders_.begin(record->holders, parts_.timers.now());
+    }
     enter(Step::Looking);
     look();
     parts_.timers.cancel(timer_);
@@ -212,7 +224,7 @@
     }
     const MayLead may = mayLead(server, report.term);
     if (may == MayLead::Yes)
-        return lead(server, report.term);
+        return lead(server, report.term, 0);
     // Another one has to be chosen, and this one is not waited for.
     if (may == MayLead::No)
         saidReplica_.insert(server);
@@ -262,9 +274,11 @@
     return candidateIdle_ ? MayLead::Yes : MayLead::No;
 }
 
-void PrimaryKeeper::lead(const ServerName &server, Term term)
+// The name is a copy: it may be that of the candidate, which ends here. Taken by reference it was
+// empty from then on, and the row named no primary after any change.
+void PrimaryKeeper::lead(ServerName server, Term term, LogOffset began)
 {
-    primary_ = server;
+    primary_ = std::move(server);
     term_ = term;
     planned_ = false;
     replacing_ = false;
@@ -275,31 +289,113 @@
     acceptedAt_ = Instant();
     enter(Step::Leading);
     for (const auto &[id, other] : servers_)
-        if (id != server)
+        if (id != primary_)
             toSettle_.insert(id);
     settledAt_ = Instant();
+    holders_.onPrimary();
     const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (record != nullptr && (record->term != term || record->primary != server))
-        parts_.ownership.change(
-            group_,
-            [server, term, took = leadTook_](OwnershipRecord &row) {
-                if (took != Duration(0))
-                    row.leadTime =
-                        row.leadTime == Duration(0) ? took : std::min(row.leadTime, took);
-                row.primary = server;
-                row.term = term;
-                row.candidate.clear();
-                row.otherCandidates = false;
-                row.primaryServes = false;
-            },
-            [](const absl::Status &) {});
-    events_.onPrimary(server);
+    leadUnrecorded_ = record != nullptr && (record->term != term || record->primary != primary_);
+    const bool isRowsTerm = record != nullptr && record->term == term;
+    termBegan_ = began == 0 && isRowsTerm ? record->termBegan : began;
+    recordLead();
+    events_.onPrimary(primary_);
     if (held_) {
         held_ = false;
         events_.onWritesHeld(false);
     }
 }
 
+// A row that goes on naming the primary before hides from the next owner which server led last.
+void PrimaryKeeper::recordLead()
+{
+    if (!leadUnrecorded_)
+        return;
+    rowWrittenAt_ = parts_.timers.now();
+    const std::uint64_t change = change_;
+    const Position acknowledged = surelyAcknowledged().value_or(Position());
+    parts_.ownership.change(
+        group_,
+        [this, acknowledged](OwnershipRecord &row) {
+            if (leadTook_ != Duration(0))
+                row.leadTime =
+                    row.leadTime == Duration(0) ? leadTook_ : std::min(row.leadTime, leadTook_);
+            row.primary = primary_;
+            row.term = term_;
+            row.termBegan = termBegan_;
+            row.candidate.clear();
+            row.otherCandidates = false;
+            row.primaryServes = false;
+            row.holders = holders_.all();
+            row.acknowledged = acknowledged;
+        },
+        [this, alive = alive_, change](const absl::Status &written) {
+            if (*alive && change == change_ && written.ok())
+                leadUnrecorded_ = false;
+        });
+}
+
+// Servers that the list does not name any more
+
+std::vector<decision::LogHolder> PrimaryKeeper::listedHolders() const
+{
+    std::vector<decision::LogHolder> listed;
+    for (const auto &[id, server] : servers_)
+        listed.push_back({id, server->listed().endpoint});
+    return listed;
+}
+
+void PrimaryKeeper::watchHolders(Instant now)
+{
+    const bool vanished = !holders_.vanished().empty();
+    const bool mayKnowAll = !knowsAll_ && aloneSince_ != Instant();
+    if ((vanished || mayKnowAll) && now - holdersAskedAt_ >= askPeriod)
+        askWhatIsHeld(now);
+    if (now - rowWrittenAt_ < rowPause)
+        return;
+    if (leadUnrecorded_)
+        return recordLead();
+    recordHolders(now);
+}
+
+// The primary, and while some have vanished the others, too: whether they hold what those may hold.
+void PrimaryKeeper::askWhatIsHeld(Instant now)
+{
+    holdersAskedAt_ = now;
+    const bool replicasToo = !holders_.vanished().empty();
+    for (const auto &[id, server] : servers_)
+        if (id == primary_ || (replicasToo && !server->isUnreachable()))
+            ask(*server, CommandKind::Report, 0, reportTimeout,
+                [this, id = id, now](const ServerReport &report) { onHeld(id, report, now); });
+}
+
+void PrimaryKeeper::onHeld(const ServerName &server, const ServerReport &report, Instant asked)
+{
+    if (step_ != Step::Leading || report.term != term_)
+        return;
+    if (server != primary_ && !report.primary)
+        return holders_.onReplicaHeld(report.received);
+    if (server != primary_ || !report.primary)
+        return;
+    holders_.onPrimaryHeld(report.received, asked);
+    // Asked after the owners before this one had ended: all that they acknowledged is in it. An
+    // answer that was already on its way then shows less.
+    if (aloneSince_ == Instant() || asked < aloneSince_)
+        return;
+    knowsAll_ = true;
+    raise(acknowledged_, report.received);
+}
+
+void PrimaryKeeper::recordHolders(Instant now)
+{
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    if (record == nullptr || record->holders == holders_.all())
+        return;
+    rowWrittenAt_ = now;
+    parts_.ownership.change(
+        group_, [this](OwnershipRecord &row) { row.holders = holders_.all(); },
+        [](const absl::Status &) {});
+}
+
 // Watching it
 
 void PrimaryKeeper::watchPrimary(Instant now)
@@ -307,13 +403,8 @@
     GroupServer *server = find(primary_);
     if (server == nullptr)
         return beginChange("not_listed", false);
-    // 1. Everything acknowledged is known once the owner before this one has ended and the primary
-    // has shown its log after that: what earlier owners acknowledged is in it.
-    if (!knowsAll_ && aloneSince_ != Instant() && server->seen.shown
-        && server->seen.shownAt > aloneSince_ + probeAfter) {
-        knowsAll_ = true;
-        onAcknowledged(*server->seen.shown);
-    }
+    // 1. What may have been acknowledged, and who may hold it.
+    watchHolders(now);
     // 2. A leaving primary is replaced while it serves.
     if (server->listed().leaving && servers_.size() > 1 && now >= plannedAfter_
         && parts_.ownership.isAlone(group_))
@@ -450,16 +541,18 @@
 
 void PrimaryKeeper::onServersChanged()
 {
+    holders_.onListed(listedHolders(), parts_.timers.now());
     for (auto id = toSettle_.begin(); id != toSettle_.end();)
         id = servers_.count(*id) == 0 ? toSettle_.erase(id) : std::next(id);
     if (step_ == Step::Looking)
         look();
 }
 
-void PrimaryKeeper::onAcknowledged(Position position)
+void PrimaryKeeper::onAcknowledged(Position shown, int beside)
 {
-    if (!acknowledged_ || *acknowledged_ < position)
-        acknowledged_ = position;
+    raise(acknowledged_, shown);
+    const auto unsure = std::min(shown.offset, static_cast<LogOffset>(beside));
+    raise(acknowledgedAtLeast_, {shown.term, shown.offset - unsure});
 }
 
 // An old primary steps down, and replicas receive again.
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -3,6 +3,8 @@
 #include "core/eventlog.h"
 #include "core/metrics.h"
 #include "core/tcpprobe.h"
+#include "decision/logholders.h"
+#include "decision/replicachoice.h"
 #include "group/groupserver.h"
 #include "group/ownership.h"
 
@@ -78,8 +80,9 @@
     void onServersChanged();
     // Another run of the server has begun: nothing that it said before counts any more.
     void onRestarted(const ServerName &server);
-    // The primary acknowledged a commit at this position.
-    void onAcknowledged(Position position);
+    // The primary acknowledged a commit and showed this position, to which so many commits may have
+    // added that were under way beside it and are not acknowledged.
+    void onAcknowledged(Position shown, int beside);
 
 private:
     // Of one question to a server, which takes some 4 ms; and how often one without an answer is
@@ -120,7 +123,7 @@
     bool callsAreOver() const;
     MayLead mayLead(const ServerName &server, Term term) const;
     bool listedPrimaryMayAnswer(Instant now) const;
-    void lead(const ServerName &server, Term term);
+    void lead(ServerName server, Term term, LogOffset began);
     void watchPrimary(Instant now);
     void probePrimary(GroupServer &server);
     void onProbed(const ServerName &server, ProbeOutcome outcome);
@@ -130,15 +133,26 @@
     void beginChange(const std::string &why, bool planned);
     ServerName lastLeader() const;
     void stopReplicas(Instant now);
-    void onStopped(const ServerName &server, const ServerReport &report, Instant asked);
+    void onStopped(const ServerName &server, const ServerReport &report, Instant asked,
+                   bool toldToStop);
     void chooseCandidate(Instant now);
+    void chooseForPlannedChange();
+    decision::ChoiceState choiceState(Instant now) const;
+    std::optional<Position> surelyAcknowledged() const;
+    void noteWaiting(const decision::ReplicaChoice &choice, Instant now);
     void onOtherLeader(GroupServer &server, const ServerReport &report);
     bool othersHaveStopped() const;
     void askForReach(Instant now);
     void abandonPlanned();
     void cancelChange(const std::string &why);
     std::string unheard() const;
-    void recordCandidate();
+    void recordCandidate(const char *rule);
+    void recordLead();
+    void askWhatIsHeld(Instant now);
+    void watchHolders(Instant now);
+    void onHeld(const ServerName &server, const ServerReport &report, Instant asked);
+    void recordHolders(Instant now);
+    std::vector<decision::LogHolder> listedHolders() const;
     void confirmCandidate(Instant now);
     void call();
     void awaitLead(Instant now);
@@ -176,7 +190,20 @@
     // Servers that have said since the search for a primary began that they are none, or that may
     // not lead any more.
     std::set<ServerName> saidReplica_;
+    // What the primary had shown with the last acknowledgement, and what of that was surely
+    // acknowledged.
     std::optional<Position> acknowledged_;
+    std::optional<Position> acknowledgedAtLeast_;
+    // What the primary held when its term began; 0 when that is not known.
+    LogOffset termBegan_ = 0;
+    // Servers that may hold acknowledged commits, listed or not.
+    decision::LogHolders holders_;
+    Instant holdersAskedAt_ {};
+    // The row does not name the present primary yet; and when it was written last.
+    bool leadUnrecorded_ = false;
+    Instant rowWrittenAt_ {};
+    // Since the log last told why nothing is promoted.
+    Instant waitingNotedAt_ {};
     // The change under way.
     bool planned_ = false;
     bool held_ = false;
--- /dev/null
+++ b/tests/decision/logholders_test.cpp
@@ -0,0 +1,85 @@
+#include "decision/logholders.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant(100s);
+const LogHolder a {"a", "10.0.0.1:1"};
+const LogHolder b {"b", "10.0.0.2:1"};
+const LogHolder c {"c", "10.0.0.3:1"};
+const LogHolder aAgain {"a2", a.endpoint};
+
+LogHolders withoutC()
+{
+    LogHolders holders;
+    holders.onListed({a, b, c}, start);
+    holders.onListed({a, b}, start + 1s);
+    return holders;
+}
+
+} // namespace
+
+TEST_CASE("A server that leaves the list may hold commits that no other has")
+{
+    const LogHolders holders = withoutC();
+    CHECK(holders.vanished() == std::vector<LogHolder> {c});
+    CHECK(holders.all() == std::vector<LogHolder> {a, b, c});
+}
+
+TEST_CASE("It counts until another replica holds what the primary had after it left")
+{
+    LogHolders holders = withoutC();
+    // Asked before it left: more may have been acknowledged with its help.
+    holders.onPrimaryHeld({1, 100}, start + 900ms);
+    holders.onReplicaHeld({1, 200});
+    CHECK(holders.vanished().size() == 1);
+    holders.onPrimaryHeld({1, 120}, start + 1100ms);
+    holders.onReplicaHeld({1, 119});
+    CHECK(holders.vanished().size() == 1);
+    holders.onReplicaHeld({1, 120});
+    CHECK(holders.vanished().empty());
+    CHECK(holders.all() == std::vector<LogHolder> {a, b});
+}
+
+TEST_CASE("What replicas must hold is learnt anew when another one leaves or another primary leads")
+{
+    LogHolders holders = withoutC();
+    holders.onPrimaryHeld({1, 120}, start + 1100ms);
+    SECTION("another leaves")
+    {
+        holders.onListed({a}, start + 2s);
+    }
+    SECTION("another leads")
+    {
+        holders.onPrimary();
+    }
+    holders.onReplicaHeld({1, 120});
+    CHECK_FALSE(holders.vanished().empty());
+}
+
+TEST_CASE("A server that returns, or another at its address, takes its place")
+{
+    LogHolders holders = withoutC();
+    holders.onListed({a, b, c}, start + 2s);
+    CHECK(holders.vanished().empty());
+    holders.onListed({b, c}, start + 3s);
+    CHECK(holders.vanished() == std::vector<LogHolder> {a});
+    holders.onListed({aAgain, b, c}, start + 4s);
+    CHECK(holders.vanished().empty());
+}
+
+TEST_CASE("A new owner goes by what the row names, whatever it has heard of servers so far")
+{
+    LogHolders holders;
+    holders.onListed({b}, start);
+    holders.begin({a, b, c}, start + 1s);
+    CHECK(holders.vanished() == std::vector<LogHolder> {a, c});
+    holders.onListed({b, c}, start + 2s);
+    CHECK(holders.vanished() == std::vector<LogHolder> {a});
+    CHECK(holders.all() == std::vector<LogHolder> {a, b, c});
+}
--- /dev/null
+++ b/tests/group/ownershiprecord_test.cpp
@@ -0,0 +1,52 @@
+#include "group/ownershiprecord.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kelptally;
+using namespace kelptally::group;
+
+namespace {
+
+OwnershipRecord fullRecord()
+{
+    OwnershipRecord record;
+    record.epoch = 7;
+    record.owner = {"10.0.0.1:7440", 3};
+    record.primary = "a";
+    record.term = 2;
+    record.termBegan = 167;
+    record.holders = {{"a", "10.0.1.1:8000"}, {"b", "10.0.1.2:8000"}};
+    record.acknowledged = {2, 180};
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("A group's row tells who may hold commits, and what was acknowledged")
+{
+    const auto read = decodeOwnership(encodeOwnership(fullRecord()));
+    REQUIRE(read.ok());
+    CHECK(read->primary == "a");
+    CHECK(read->termBegan == 167);
+    CHECK(read->holders == fullRecord().holders);
+    CHECK(read->acknowledged == Position {2, 180});
+}
+
+TEST_CASE("A row of an earlier version names no holders and nothing acknowledged")
+{
+    const auto read = decodeOwnership(R"({"epoch":7,"owner":"10.0.0.1:7440","incarnation":3,)"
+                                      R"("primary":"a","term":2,"candidate":""})");
+    REQUIRE(read.ok());
+    CHECK(read->holders.empty());
+    CHECK(read->termBegan == 0);
+    CHECK(read->acknowledged.term == 0);
+}
+
+TEST_CASE("A row whose holders can't be understood is refused")
+{
+    std::string text = encodeOwnership(fullRecord());
+    const std::size_t at = text.find("\"endpoint\"");
+    REQUIRE(at != std::string::npos);
+    text.replace(at, 10, "\"endbroke\"");
+    CHECK_FALSE(decodeOwnership(text).ok());
+}
