Membership soak; a server stands in for another one only with as much in its log

Cause: a soak whose servers come back under other ids, lapse, leave and are lost for good found what the cases had not: a server at the address of a lost one counted for it though it was empty; a new primary's inherited commits were nowhere else when it was left out of the comparison; and with holders that never return a group waited for ever although the servers left held everything. Rows tell what each holder was seen to hold. The old primary is told to stop once it follows. The case 'a leader that has vanished leaves no room' is now part of 'the last leader's own log'.

--- a/src/decision/replicachoice.cpp
+++ b/src/decision/replicachoice.cpp
@@ -20,6 +20,36 @@
     return lacksBeginning ? Position {0, held.offset} : held;
 }
 
+// Of the holders whose logs are not among the compared ones.
+struct Missing
+{
+    // All of them, and those that may yet come back.
+    int all = 0;
+    int awaited = 0;
+    bool hasLastLeader = true;
+};
+
+Missing missingFrom(const std::vector<ReplicaState> &replicas)
+{
+    Missing missing;
+    for (const ReplicaState &replica : replicas) {
+        const auto standIn =
+            std::find_if(replicas.begin(), replicas.end(), [&](const ReplicaState &other) {
+                return other.held && other.endpoint == replica.endpoint;
+            });
+        const bool isReplaced = standIn != replicas.end();
+        const bool hasItsLog =
+            isReplaced && replica.seen != Position() && replica.seen <= *standIn->held;
+        if (replica.held || hasItsLog) {
+            missing.hasLastLeader = missing.hasLastLeader && !replica.isLastLeader;
+            continue;
+        }
+        ++missing.all;
+        missing.awaited += isReplaced ? 0 : 1;
+    }
+    return missing;
+}
+
 } // namespace
 
 const char *ruleName(ChoiceRule rule)
@@ -42,11 +72,9 @@
     // 1. The highest position; of equals one that stays.
     const ReplicaState *best = nullptr;
     Position most;
-    std::size_t heard = 0;
     for (const ReplicaState &replica : state.replicas) {
         if (!replica.held)
             continue;
-        ++heard;
         const Position held = surelyHeld(replica, state);
         const bool isBetter =
             best == nullptr || most < held || (most == held && best->avoided && !replica.avoided);
@@ -60,8 +88,10 @@
         return choice;
     choice.held = best->held;
     // 2. Whether it must hold everything that was acknowledged.
-    const std::size_t mayMiss = state.leaderKnown ? 0 : 1;
-    const bool allHeard = heard + mayMiss >= state.replicas.size();
+    const Missing missing = missingFrom(state.replicas);
+    const bool hasInherited = !state.termBegan || state.termBegan->offset <= best->held->offset;
+    const bool allHeard =
+        !missing.hasLastLeader || missing.awaited == 0 || (missing.all <= 1 && hasInherited);
     const bool lacksKnown = state.acknowledgedAtLeast && most < *state.acknowledgedAtLeast;
     const bool holdsAll = state.acknowledgedAtMost && *state.acknowledgedAtMost <= most;
     if (allHeard)
--- a/src/decision/replicachoice.h
+++ b/src/decision/replicachoice.h
@@ -8,13 +8,19 @@
 
 namespace kelptally::decision {
 
-// One server that may hold acknowledged commits, as the owner knows it when the primary is lost.
+// One server that may hold acknowledged commits, the last leader among them, as the owner knows it
+// when the primary is lost.
 struct ReplicaState
 {
     ServerName server;
+    // "ip:port"
+    std::string endpoint;
     // What it held once it had been stopped from receiving, by this owner and in this change;
     // nothing as long as it has not said so.
     std::optional<Position> held;
+    // What it was seen to hold before; term 0 when that is not known.
+    Position seen;
+    bool isLastLeader = false;
     // Leaving, or it has failed as a candidate: taken only if no other holds as much.
     bool avoided = false;
 };
@@ -22,10 +28,8 @@
 // What is known when a primary has been lost and the next one is chosen.
 struct ChoiceState
 {
-    // All that may hold acknowledged commits, but for the last leader where it is known.
+    // All that may hold acknowledged commits.
     std::vector<ReplicaState> replicas;
-    // The last leader is known, and not among the replicas.
-    bool leaderKnown = false;
     // Everything up to the first position has been acknowledged, as far as is known, and nothing
     // above the second one; nothing when the one or the other is not known.
     std::optional<Position> acknowledgedAtLeast;
@@ -39,7 +43,7 @@
 
 // Why a server was taken, or none.
 enum class ChoiceRule {
-    // Everything acknowledged is in one of the logs that were compared.
+    // Everything acknowledged that is not lost for good is in one of the logs that were compared.
     AllHeard,
     // Some are unheard, and the one taken holds all that has been acknowledged.
     HoldsAll,
@@ -64,9 +68,16 @@
 //
 // Each acknowledged commit was in the leader's log and in one more, and no more are acknowledged
 // once all replicas have stopped and no other owner can let them receive again. So it is in one of
-// any set that leaves out one holder at most: the last leader if it is known, else anyone. The
-// highest position of such a set has it. With more unheard the same follows only from knowing every
-// acknowledgement. In no case is a server taken that lacks one that is known.
+// any logs that leave out one holder at most, and in the last leader's. The highest position of
+// such logs has it. With more missing the same follows only from knowing every acknowledgement. In
+// no case is a server taken that lacks one that is known.
+//
+// What the last leader took over from the one before it was in its log alone when its term began.
+// So without that log a replica is taken only if it reaches that far.
+//
+// A server at the address of another one has its log if it holds as much as that one was seen to
+// hold. Else that log may be lost for good: it is missing, but nobody waits for it. With none left
+// that could come back, the highest is taken.
 ReplicaChoice chooseReplica(const ChoiceState &state);
 
 } // namespace kelptally::decision
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -54,6 +54,7 @@
         .with("lease_left_ms", parts_.ownership.leaseLeft(group_));
     planned_ = planned;
     oldPrimary_ = primary_.empty() ? lastLeader() : primary_;
+    oldIsReplica_ = false;
     stopped_.clear();
     excluded_.clear();
     candidate_.clear();
@@ -91,8 +92,8 @@
             const bool isOld = id == oldPrimary_;
             if (stopped_.count(id) != 0 && !(planned_ && id == candidate_))
                 continue;
-            const bool stop =
-                !isOld && mayChange && (!planned_ || (!candidate_.empty() && id != candidate_));
+            const bool stop = mayChange && (!isOld || oldIsReplica_)
+                && (!planned_ || (!candidate_.empty() && id != candidate_));
             ask(*server, stop ? CommandKind::StopReceiving : CommandKind::Report, stopTerm_,
                 reportTimeout, [this, id = id, now, stop](const ServerReport &report) {
                     onStopped(id, report, now, stop);
@@ -153,6 +154,7 @@
     GroupServer *found = find(server);
     if (found == nullptr)
         return;
+    holders_.onHeld(server, report.received);
     if (replacing_ && server == oldPrimary_ && report.term <= term_)
         return;
     // The old primary is back, or another leads already.
@@ -174,6 +176,9 @@
             candidate_ = server;
     } else if (planned_ && server == candidate_) {
         stopped_[server] = report;
+    } else if (server == oldPrimary_ && !oldIsReplica_) {
+        // It is back and follows: from now on it is told to stop like the others.
+        oldIsReplica_ = !report.primary;
     } else if (toldToStop && report.stoppedUnder >= stopTerm_) {
         // One that another owner has stopped may be let go by it again.
         stopped_[server] = report;
@@ -246,7 +251,6 @@
 decision::ChoiceState PrimaryKeeper::choiceState(Instant now) const
 {
     decision::ChoiceState state;
-    state.leaderKnown = !oldPrimary_.empty();
     state.acknowledgedAtLeast = surelyAcknowledged();
     if (knowsAll_)
         state.acknowledgedAtMost = acknowledged_;
@@ -254,22 +258,22 @@
     if (const OwnershipRecord *record = parts_.ownership.record(group_))
         if (record->termBegan != 0)
             state.termBegan = Position {record->term, record->termBegan};
-    for (const auto &[id, server] : servers_) {
-        if (id == oldPrimary_)
-            continue;
+    for (const decision::LogHolder &holder : holders_.all()) {
         decision::ReplicaState replica;
-        replica.server = id;
-        const auto report = stopped_.find(id);
-        if (report != stopped_.end())
+        replica.server = holder.server;
+        replica.endpoint = holder.endpoint;
+        replica.seen = holder.held;
+        replica.isLastLeader = holder.server == oldPrimary_;
+        const auto report = stopped_.find(holder.server);
+        const auto server = servers_.find(holder.server);
+        if (report != stopped_.end() && server != servers_.end())
             replica.held = report->second.received;
         // One that failed as a candidate still counts by its position: if it holds the most, it is
         // the one again.
-        replica.avoided = excluded_.count(id) != 0 || server->listed().leaving;
+        replica.avoided = excluded_.count(holder.server) != 0
+            || (server != servers_.end() && server->second->listed().leaving);
         state.replicas.push_back(std::move(replica));
     }
-    for (const decision::LogHolder &holder : holders_.vanished())
-        if (holder.server != oldPrimary_)
-            state.replicas.push_back({holder.server, std::nullopt, true});
     return state;
 }
 
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -340,7 +340,7 @@
 {
     std::vector<decision::LogHolder> listed;
     for (const auto &[id, server] : servers_)
-        listed.push_back({id, server->listed().endpoint});
+        listed.push_back({id, server->listed().endpoint, {}, server->listed().missing});
     return listed;
 }
 
@@ -350,6 +350,9 @@
     const bool mayKnowAll = !knowsAll_ && aloneSince_ != Instant();
     if ((vanished || mayKnowAll) && now - holdersAskedAt_ >= askPeriod)
         askWhatIsHeld(now);
+    for (const auto &[id, server] : servers_)
+        if (server->seen.shown)
+            holders_.onHeld(id, *server->seen.shown);
     if (now - rowWrittenAt_ < rowPause)
         return;
     if (leadUnrecorded_)
@@ -370,7 +373,10 @@
 
 void PrimaryKeeper::onHeld(const ServerName &server, const ServerReport &report, Instant asked)
 {
-    if (step_ != Step::Leading || report.term != term_)
+    if (step_ != Step::Leading)
+        return;
+    holders_.onHeld(server, report.received);
+    if (report.term != term_)
         return;
     if (server != primary_ && !report.primary)
         return holders_.onReplicaHeld(report.received);
@@ -388,7 +394,7 @@
 void PrimaryKeeper::recordHolders(Instant now)
 {
     const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (record == nullptr || record->holders == holders_.all())
+    if (record == nullptr || holders_.areNamedIn(record->holders))
         return;
     rowWrittenAt_ = now;
     parts_.ownership.change(
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -216,6 +216,8 @@
     // The row could not be written; not before then again.
     Instant recordAfter_ {};
     ServerName oldPrimary_;
+    // It has said so since the change began.
+    bool oldIsReplica_ = false;
     // The change replaces a primary that goes on answering, so that its word is no reason to stop;
     // and when the next such change may begin.
     bool replacing_ = false;
--- a/tests/decision/logholders_test.cpp
+++ b/tests/decision/logholders_test.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 const Instant start = Instant(100s);
-const LogHolder a {"a", "10.0.0.1:1"};
-const LogHolder b {"b", "10.0.0.2:1"};
-const LogHolder c {"c", "10.0.0.3:1"};
-const LogHolder aAgain {"a2", a.endpoint};
+const LogHolder a {"a", "10.0.0.1:1", {}};
+const LogHolder b {"b", "10.0.0.2:1", {}};
+const LogHolder c {"c", "10.0.0.3:1", {}};
+const LogHolder atC {"c2", c.endpoint, {}};
 
 LogHolders withoutC()
 {
@@ -62,17 +62,58 @@
     CHECK_FALSE(holders.vanished().empty());
 }
 
-TEST_CASE("A server that returns, or another at its address, takes its place")
+TEST_CASE("A server that is listed again is no vanished one")
 {
     LogHolders holders = withoutC();
     holders.onListed({a, b, c}, start + 2s);
     CHECK(holders.vanished().empty());
-    holders.onListed({b, c}, start + 3s);
-    CHECK(holders.vanished() == std::vector<LogHolder> {a});
-    holders.onListed({aAgain, b, c}, start + 4s);
+}
+
+TEST_CASE("Another server at its address stands in for one that vanished if it holds as much")
+{
+    LogHolders holders;
+    holders.onListed({a, b, c}, start);
+    holders.onHeld("c", {1, 100});
+    holders.onHeld("c", {1, 90});
+    holders.onListed({a, b}, start + 1s);
+    const LogHolder seen {"c", c.endpoint, {1, 100}};
+    CHECK(holders.vanished() == std::vector<LogHolder> {seen});
+    holders.onListed({a, b, atC}, start + 2s);
+    CHECK(holders.vanished().size() == 1);
+    // An empty one, and a whole one at another address, do not.
+    holders.onHeld("c2", {1, 0});
+    holders.onHeld("b", {1, 300});
+    CHECK(holders.vanished().size() == 1);
+    holders.onHeld("c2", {1, 100});
     CHECK(holders.vanished().empty());
 }
 
+TEST_CASE("Nobody stands in for a server of which it is not known what it held")
+{
+    LogHolders holders = withoutC();
+    holders.onListed({a, b, atC}, start + 2s);
+    holders.onHeld("c2", {1, 100});
+    CHECK(holders.vanished() == std::vector<LogHolder> {c});
+}
+
+TEST_CASE("A row is written anew for other servers, not for what they hold meanwhile")
+{
+    LogHolders holders;
+    holders.onListed({a, b}, start);
+    holders.onHeld("b", {1, 100});
+    const std::vector<LogHolder> named = holders.all();
+    CHECK(named[1].held == Position {1, 100});
+    holders.onHeld("b", {1, 200});
+    CHECK(holders.areNamedIn(named));
+    LogHolder missing = b;
+    missing.missing = true;
+    holders.onListed({a, missing}, start + 1s);
+    CHECK_FALSE(holders.areNamedIn(named));
+    CHECK(holders.areNamedIn(holders.all()));
+    holders.onListed({a, b, c}, start + 1s);
+    CHECK_FALSE(holders.areNamedIn(named));
+}
+
 TEST_CASE("A new owner goes by what the row names, whatever it has heard of servers so far")
 {
     LogHolders holders;
--- a/tests/decision/replicachoice_test.cpp
+++ b/tests/decision/replicachoice_test.cpp
@@ -12,14 +12,38 @@
 
 constexpr Duration longWait = 1s;
 
+ReplicaState unheard(const ServerName &server)
+{
+    ReplicaState replica;
+    replica.server = server;
+    replica.endpoint = server + ":1";
+    return replica;
+}
+
 ReplicaState heard(const ServerName &server, Position held)
 {
-    return {server, held, false};
+    ReplicaState replica = unheard(server);
+    replica.held = held;
+    return replica;
 }
 
-ReplicaState unheard(const ServerName &server)
+ReplicaState lastLeader(ReplicaState replica)
+{
+    replica.isLastLeader = true;
+    return replica;
+}
+
+// At the address of another one.
+ReplicaState at(const ServerName &address, ReplicaState replica)
+{
+    replica.endpoint = address + ":1";
+    return replica;
+}
+
+ReplicaState seen(ReplicaState replica, Position position)
 {
-    return {server, std::nullopt, false};
+    replica.seen = position;
+    return replica;
 }
 
 // One group at the moment at which its primary is lost: what each log holds, how much of it was
@@ -36,13 +60,13 @@
 ChoiceState stateOf(const Lost &lost)
 {
     ChoiceState state;
-    state.leaderKnown = lost.leaderKnown;
     state.waited = longWait;
-    for (std::size_t i = lost.leaderKnown ? 1 : 0; i < lost.logs.size(); ++i) {
+    for (std::size_t i = 0; i < lost.logs.size(); ++i) {
         const ServerName server = std::to_string(i);
         const bool isHeard = (lost.heardMask >> i & 1u) != 0;
         state.replicas.push_back(isHeard ? heard(server, {1, lost.logs[i]}) : unheard(server));
     }
+    state.replicas[0].isLastLeader = lost.leaderKnown;
     return state;
 }
 
@@ -105,32 +129,70 @@
     CHECK(early > 100);
 }
 
-TEST_CASE("With the leader known all others are heard, and it is not waited for")
+TEST_CASE("All but the last leader are heard, and it is not waited for")
 {
     ChoiceState state;
-    state.leaderKnown = true;
-    state.replicas = {heard("b", {1, 106}), unheard("c")};
+    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106}), unheard("c")};
     CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
-    state.replicas[1] = heard("c", {1, 167});
+    state.replicas[2] = heard("c", {1, 167});
     CHECK(chooseReplica(state).server == "c");
     CHECK(chooseReplica(state).rule == ChoiceRule::AllHeard);
 }
 
-TEST_CASE("A leader that has vanished leaves no room for another that is unheard")
+TEST_CASE("The last leader's own log holds everything, whoever else is unheard")
 {
     ChoiceState state;
-    state.replicas = {heard("b", {1, 106}), unheard("c"), unheard("vanished")};
+    state.replicas = {lastLeader(heard("a", {1, 167})), unheard("b"), unheard("c")};
+    CHECK(chooseReplica(state).server == "a");
+    state.replicas[0].isLastLeader = false;
     CHECK(chooseReplica(state).server.empty());
-    state.replicas[1] = heard("c", {1, 167});
+}
+
+TEST_CASE("A server at the address of another stands in for it if it holds as much")
+{
+    ChoiceState state;
+    const ReplicaState gone = seen(unheard("c"), {1, 160});
+    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106}), gone,
+                      at("c", heard("c2", {1, 167}))};
+    CHECK(chooseReplica(state).server == "c2");
+    // What the other one held is not known.
+    state.replicas[2].seen = Position();
+    CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
+    state.replicas[2].seen = Position {1, 160};
+    // An empty one shows that the other log is lost: the leader has to be heard now.
+    state.replicas[3].held = Position {1, 0};
+    CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
+    state.replicas[0] = lastLeader(heard("a", {1, 167}));
+    CHECK(chooseReplica(state).server == "a");
+}
+
+TEST_CASE("With all missing logs lost for good the highest that is left is taken")
+{
+    ChoiceState state;
+    state.replicas = {lastLeader(seen(unheard("a"), {1, 167})), at("a", heard("a2", {1, 0})),
+                      heard("b", {1, 106}), seen(unheard("c"), {1, 160}),
+                      at("c", heard("c2", {1, 0}))};
+    CHECK(chooseReplica(state).server == "b");
+}
+
+TEST_CASE("Without the last leader's log a replica must reach what its term began with")
+{
+    ChoiceState state;
+    state.termBegan = Position {2, 167};
+    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106}), heard("c", {2, 160})};
+    CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
+    state.replicas[2].held = Position {2, 168};
+    CHECK(chooseReplica(state).server == "c");
+    // The whole log of the term before is as good as the beginning of this one.
+    state.replicas[2].held = Position {1, 167};
     CHECK(chooseReplica(state).server == "c");
 }
 
 TEST_CASE("What is known to be acknowledged is never given up, also when all were heard")
 {
     ChoiceState state;
-    state.leaderKnown = true;
     state.waited = longWait;
-    state.replicas = {heard("b", {1, 106})};
+    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106})};
     state.acknowledgedAtLeast = Position {1, 107};
     CHECK(chooseReplica(state).rule == ChoiceRule::AcknowledgedMissing);
     CHECK(chooseReplica(state).server.empty());
@@ -141,9 +203,8 @@
 TEST_CASE("Those that answer in time are compared before one is taken that holds everything")
 {
     ChoiceState state;
-    state.leaderKnown = true;
     state.acknowledgedAtMost = Position {1, 100};
-    state.replicas = {heard("b", {1, 100}), unheard("c")};
+    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 100}), unheard("c")};
     CHECK(chooseReplica(state).server.empty());
     state.waited = 60ms;
     CHECK(chooseReplica(state).server == "b");
@@ -153,8 +214,8 @@
 TEST_CASE("Of equal logs one that stays is taken, of others the one that holds more")
 {
     ChoiceState state;
-    state.leaderKnown = true;
-    state.replicas = {{"leaving", Position {2, 50}, true}, heard("stays", {2, 50})};
+    state.replicas = {heard("leaving", {2, 50}), heard("stays", {2, 50}), unheard("a")};
+    state.replicas[0].avoided = true;
     CHECK(chooseReplica(state).server == "stays");
     state.replicas[0].held = Position {2, 51};
     CHECK(chooseReplica(state).server == "leaving");
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -345,11 +345,12 @@
         connection->silence();
 }
 
-// The log of the primary, or while there is none the furthest one.
+// The log of the primary that runs, or while there is none the furthest one: a server that was
+// replaced while it was down still takes itself for a primary.
 const std::vector<LogEntry> &ModelGroup::newestLog() const
 {
     const auto leader = servers_.find(primary());
-    if (leader != servers_.end())
+    if (leader != servers_.end() && leader->second.running)
         return leader->second.log;
     const auto furthest =
         std::max_element(servers_.begin(), servers_.end(), [](const auto &a, const auto &b) {
--- a/tests/host/soak_test.cpp
+++ b/tests/host/soak_test.cpp
@@ -116,10 +116,13 @@
         {202, "an owner promoted a server that lacked what it had acknowledged itself"},
         {211, "an owner that had heard of one server only promoted it"},
         {253, "an owner promoted a server that lacked what it had acknowledged itself"},
+        {234, "an empty server counted for the replica in whose place it came"},
+        {460, "an empty server counted for one of which the next owner knew nothing"},
         {653, "the word of a server that had left the list counted for another one"},
         {1157,
          "a primary that acknowledged nothing was replaced by a server that lacked what the owner "
          "had acknowledged"},
+        {1932, "the model asked a primary that had been replaced while it was down"},
     };
     for (const Replay &replay : failed) {
         const model::SoakResult result = model::soak(replay.seed, model::SoakKind::Membership);
