--- a/src/decision/earlierowners.cpp
+++ b/src/decision/earlierowners.cpp
@@ -64,11 +64,6 @@
     return any;
 }
 
-bool EarlierOwners::onEnded(const ProcessId &process)
-{
-    return remove([&](const EarlierOwner &owner) { return owner.process == process; });
-}
-
 bool EarlierOwners::onRestarted(const ProcessId &process)
 {
     return remove([&](const EarlierOwner &owner) {
--- a/src/decision/earlierowners.h
+++ b/src/decision/earlierowners.h
@@ -37,9 +37,7 @@
     // Those that may; the nameless ones, too.
     std::vector<EarlierOwner> open(Instant now) const;
 
-    // Another run of the process, or none, is at its address. True when this is news.
-    bool onEnded(const ProcessId &process);
-    // Another run of a process was heard.
+    // Another run of a process was heard at its address. True when this is news.
     bool onRestarted(const ProcessId &process);
     // The process says that it has ended what it did under epochs up to this one.
     bool onSaidEnded(const std::string &address, OwnerEpoch epoch);
--- a/tests/decision/earlierowners_test.cpp
+++ b/tests/decision/earlierowners_test.cpp
@@ -48,10 +48,9 @@
 {
     EarlierOwners owners = both();
     CHECK_FALSE(owners.onSaidEnded(first.process.address, first.epoch - 1));
-    CHECK_FALSE(owners.onEnded({first.process.address, first.process.incarnation + 1}));
     CHECK_FALSE(owners.onRestarted(first.process));
     CHECK(owners.onRestarted({first.process.address, first.process.incarnation + 1}));
-    CHECK(owners.onEnded(second.process));
+    CHECK(owners.onSaidEnded(second.process.address, second.epoch));
     CHECK_FALSE(owners.mayAct(start));
 }
 
@@ -60,7 +59,6 @@
     EarlierOwners owners;
     owners.begin(start, {}, 10s, self);
     CHECK_FALSE(owners.onSaidEnded("", 100));
-    CHECK_FALSE(owners.onEnded(ProcessId()));
     CHECK(owners.mayAct(start + 9s));
     CHECK_FALSE(owners.mayAct(start + 10s));
 }
