What is known of logs in a file of its own; holders are looked at ten times a second, not forty

Change: group/primaryholders.cpp holds acknowledgements, holders, the row's part of both and the state of a choice; the look at holders each 100 ms; each write of holders tells what is surely acknowledged, too.

--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -22,8 +22,6 @@
 // The store takes a change within this time also when it is slow; longer means that it may turn
 // this process away.
 constexpr Duration recordTime = std::chrono::milliseconds(600);
-// The log tells this often why nothing is promoted.
-constexpr Duration waitingNoted = std::chrono::seconds(1);
 // Without a primary for this long, and unable to change it, the owner looks for one that reaches
 // it.
 constexpr Duration reachAfter = std::chrono::milliseconds(600);
@@ -247,62 +245,6 @@
     recordCandidate("planned");
 }
 
-// All that may hold acknowledged commits count, not only those that the list names now.
-decision::ChoiceState PrimaryKeeper::choiceState(Instant now) const
-{
-    decision::ChoiceState state;
-    state.acknowledgedAtLeast = surelyAcknowledged();
-    if (knowsAll_)
-        state.acknowledgedAtMost = acknowledged_;
-    state.waited = inStep(now);
-    if (const OwnershipRecord *record = parts_.ownership.record(group_))
-        if (record->termBegan != 0)
-            state.termBegan = Position {record->term, record->termBegan};
-    for (const decision::LogHolder &holder : holders_.all()) {
-        decision::ReplicaState replica;
-        replica.server = holder.server;
-        replica.endpoint = holder.endpoint;
-        replica.seen = holder.held;
-        replica.isLastLeader = holder.server == oldPrimary_;
-        const auto report = stopped_.find(holder.server);
-        const auto server = servers_.find(holder.server);
-        if (report != stopped_.end() && server != servers_.end())
-            replica.held = report->second.received;
-        // One that failed as a candidate still counts by its position: if it holds the most, it is
-        // the one again.
-        replica.avoided = excluded_.count(holder.server) != 0
-            || (server != servers_.end() && server->second->listed().leaving);
-        state.replicas.push_back(std::move(replica));
-    }
-    return state;
-}
-
-// Here, or by what an earlier owner left in the row.
-std::optional<Position> PrimaryKeeper::surelyAcknowledged() const
-{
-    std::optional<Position> known = acknowledgedAtLeast_;
-    const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (record != nullptr && record->acknowledged.term != 0
-        && (!known || *known < record->acknowledged))
-        known = record->acknowledged;
-    return known;
-}
-
-// Nothing is promoted that may lack something acknowledged, however long that takes.
-void PrimaryKeeper::noteWaiting(const decision::ReplicaChoice &choice, Instant now)
-{
-    if (inStep(now) < waitingNoted || now - waitingNotedAt_ < waitingNoted)
-        return;
-    waitingNotedAt_ = now;
-    const auto known = surelyAcknowledged();
-    parts_.log.warning("promotion_waits", decision::ruleName(choice.rule))
-        .with("group", group_)
-        .with("old_primary", oldPrimary_)
-        .with("held", choice.held ? positionText(*choice.held) : std::string("-"))
-        .with("acknowledged", known ? positionText(*known) : std::string("-"))
-        .with("unheard", unheard());
-}
-
 // The old primary answers again, or another one leads: everything goes on there.
 void PrimaryKeeper::cancelChange(const std::string &leader)
 {
@@ -315,24 +257,6 @@
     look();
 }
 
-// Servers whose logs the choice does not know, and what is known of each.
-std::string PrimaryKeeper::unheard() const
-{
-    std::string text;
-    for (const auto &[id, server] : servers_) {
-        if (stopped_.count(id) != 0)
-            continue;
-        const char *state = server->isAbsent() ? "absent"
-            : server->isUnreachable()          ? "unreachable"
-            : server->listed().missing         ? "missing"
-                                               : "listed";
-        text += (text.empty() ? "" : " ") + id + "=" + state;
-    }
-    for (const decision::LogHolder &holder : holders_.vanished())
-        text += (text.empty() ? "" : " ") + holder.server + "=vanished";
-    return text;
-}
-
 void PrimaryKeeper::recordCandidate(const char *rule)
 {
     if (parts_.timers.now() < recordAfter_)
@@ -359,10 +283,9 @@
     });
     parts_.ownership.change(
         group_,
-        [this, candidate, term, serves, acknowledged = surelyAcknowledged()](OwnershipRecord &row) {
+        [this, candidate, term, serves](OwnershipRecord &row) {
+            tellHolders(row);
             row.primaryServes = serves;
-            row.holders = holders_.all();
-            row.acknowledged = acknowledged.value_or(Position());
             row.otherCandidates =
                 row.otherCandidates || (!row.candidate.empty() && row.candidate != candidate);
             row.candidate = candidate;
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -25,8 +25,6 @@
 constexpr Duration othersWithin = std::chrono::milliseconds(500);
 // A listed primary that can't be reached is given this long before it counts as lost.
 constexpr Duration lookFor = std::chrono::milliseconds(450);
-// Between two writes of the row that no caller waits for: servers come and go a few at a time.
-constexpr Duration rowPause = std::chrono::seconds(1);
 
 const char *stepName(int step)
 {
@@ -36,12 +34,6 @@
     return names[step];
 }
 
-void raise(std::optional<Position> &position, Position to)
-{
-    if (!position || *position < to)
-        position = to;
-}
-
 const char *commandName(CommandKind kind)
 {
     switch (kind) {
@@ -305,103 +297,6 @@
     }
 }
 
-// A row that goes on naming the primary before hides from the next owner which server led last.
-void PrimaryKeeper::recordLead()
-{
-    if (!leadUnrecorded_)
-        return;
-    rowWrittenAt_ = parts_.timers.now();
-    const std::uint64_t change = change_;
-    const Position acknowledged = surelyAcknowledged().value_or(Position());
-    parts_.ownership.change(
-        group_,
-        [this, acknowledged](OwnershipRecord &row) {
-            if (leadTook_ != Duration(0))
-                row.leadTime =
-                    row.leadTime == Duration(0) ? leadTook_ : std::min(row.leadTime, leadTook_);
-            row.primary = primary_;
-            row.term = term_;
-            row.termBegan = termBegan_;
-            row.candidate.clear();
-            row.otherCandidates = false;
-            row.primaryServes = false;
-            row.holders = holders_.all();
-            row.acknowledged = acknowledged;
-        },
-        [this, alive = alive_, change](const absl::Status &written) {
-            if (*alive && change == change_ && written.ok())
-                leadUnrecorded_ = false;
-        });
-}
-
-// Servers that the list does not name any more
-
-std::vector<decision::LogHolder> PrimaryKeeper::listedHolders() const
-{
-    std::vector<decision::LogHolder> listed;
-    for (const auto &[id, server] : servers_)
-        listed.push_back({id, server->listed().endpoint, {}, server->listed().missing});
-    return listed;
-}
-
-void PrimaryKeeper::watchHolders(Instant now)
-{
-    const bool vanished = !holders_.vanished().empty();
-    const bool mayKnowAll = !knowsAll_ && aloneSince_ != Instant();
-    if ((vanished || mayKnowAll) && now - holdersAskedAt_ >= askPeriod)
-        askWhatIsHeld(now);
-    for (const auto &[id, server] : servers_)
-        if (server->seen.shown)
-            holders_.onHeld(id, *server->seen.shown);
-    if (now - rowWrittenAt_ < rowPause)
-        return;
-    if (leadUnrecorded_)
-        return recordLead();
-    recordHolders(now);
-}
-
-// The primary, and while some have vanished the others, too: whether they hold what those may hold.
-void PrimaryKeeper::askWhatIsHeld(Instant now)
-{
-    holdersAskedAt_ = now;
-    const bool replicasToo = !holders_.vanished().empty();
-    for (const auto &[id, server] : servers_)
-        if (id == primary_ || (replicasToo && !server->isUnreachable()))
-            ask(*server, CommandKind::Report, 0, reportTimeout,
-                [this, id = id, now](const ServerReport &report) { onHeld(id, report, now); });
-}
-
-void PrimaryKeeper::onHeld(const ServerName &server, const ServerReport &report, Instant asked)
-{
-    if (step_ != Step::Leading)
-        return;
-    holders_.onHeld(server, report.received);
-    if (report.term != term_)
-        return;
-    if (server != primary_ && !report.primary)
-        return holders_.onReplicaHeld(report.received);
-    if (server != primary_ || !report.primary)
-        return;
-    holders_.onPrimaryHeld(report.received, asked);
-    // Asked after the owners before this one had ended: all that they acknowledged is in it. An
-    // answer that was already on its way then shows less.
-    if (aloneSince_ == Instant() || asked < aloneSince_)
-        return;
-    knowsAll_ = true;
-    raise(acknowledged_, report.received);
-}
-
-void PrimaryKeeper::recordHolders(Instant now)
-{
-    const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (record == nullptr || holders_.areNamedIn(record->holders))
-        return;
-    rowWrittenAt_ = now;
-    parts_.ownership.change(
-        group_, [this](OwnershipRecord &row) { row.holders = holders_.all(); },
-        [](const absl::Status &) {});
-}
-
 // Watching it
 
 void PrimaryKeeper::watchPrimary(Instant now)
@@ -554,13 +449,6 @@
         look();
 }
 
-void PrimaryKeeper::onAcknowledged(Position shown, int beside)
-{
-    raise(acknowledged_, shown);
-    const auto unsure = std::min(shown.offset, static_cast<LogOffset>(beside));
-    raise(acknowledgedAtLeast_, {shown.term, shown.offset - unsure});
-}
-
 // An old primary steps down, and replicas receive again.
 void PrimaryKeeper::settleOthers()
 {
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -152,6 +152,7 @@
     void watchHolders(Instant now);
     void onHeld(const ServerName &server, const ServerReport &report, Instant asked);
     void recordHolders(Instant now);
+    void tellHolders(OwnershipRecord &row) const;
     std::vector<decision::LogHolder> listedHolders() const;
     void confirmCandidate(Instant now);
     void call();
@@ -198,7 +199,7 @@
     LogOffset termBegan_ = 0;
     // Servers that may hold acknowledged commits, listed or not.
     decision::LogHolders holders_;
-    Instant holdersAskedAt_ {};
+    Instant holdersWatchedAt_ {};
     // The row does not name the present primary yet; and when it was written last.
     bool leadUnrecorded_ = false;
     Instant rowWrittenAt_ {};
