What a primary took over counts also when the next owner finds it in the lead

Cause: the position with which a term began was known only to the owner that had called; one that found the new primary in the lead knew no bound for what is in that log alone, nor did an owner whose row was not written yet use its own. Change: the row also tells what the primary held when it was first seen to lead (first_held), which a replica has to reach without the leader's log; an owner goes by its own term where the row lags. Tests: candidate_test, 'A new primary that the next owner has found is waited for when it crashes' (fails with two missing logs allowed); the bound itself in replicachoice_test.

--- a/src/decision/replicachoice.cpp
+++ b/src/decision/replicachoice.cpp
@@ -89,7 +89,7 @@
     choice.held = best->held;
     // 2. Whether it must hold everything that was acknowledged.
     const Missing missing = missingFrom(state.replicas);
-    const bool hasInherited = !state.termBegan || state.termBegan->offset <= best->held->offset;
+    const bool hasInherited = state.inherited <= best->held->offset;
     const bool allHeard =
         !missing.hasLastLeader || missing.awaited == 0 || (missing.all <= 1 && hasInherited);
     const bool lacksKnown = state.acknowledgedAtLeast && most < *state.acknowledgedAtLeast;
--- a/src/decision/replicachoice.h
+++ b/src/decision/replicachoice.h
@@ -37,6 +37,8 @@
     // Where the newest known term began: the last leader's position when it was promoted. A
     // server may show that term and not yet have received what it began with.
     std::optional<Position> termBegan;
+    // What the last leader had taken over from the one before it, or more than that.
+    LogOffset inherited = 0;
     // Since the replicas were first told to stop.
     Duration waited {0};
 };
--- a/src/group/ownershiprecord.cpp
+++ b/src/group/ownershiprecord.cpp
@@ -22,6 +22,7 @@
     writer.member("primary", record.primary);
     writer.member("term", record.term);
     writer.member("term_began", record.termBegan);
+    writer.member("first_held", record.firstHeld);
     writer.member("candidate", record.candidate);
     writer.member("other_candidates", record.otherCandidates);
     writer.member("primary_serves", record.primaryServes);
@@ -117,6 +118,7 @@
     record.primary = fields.text("primary");
     record.term = fields.whole("term");
     record.termBegan = fields.has("term_began") ? fields.whole("term_began") : 0;
+    record.firstHeld = fields.has("first_held") ? fields.whole("first_held") : 0;
     record.candidate = fields.text("candidate");
     record.otherCandidates = fields.has("other_candidates") && fields.flag("other_candidates");
     record.primaryServes = fields.has("primary_serves") && fields.flag("primary_serves");
--- a/src/group/ownershiprecord.h
+++ b/src/group/ownershiprecord.h
@@ -24,6 +24,8 @@
     Term term = 0;
     // What the primary held when its term began; 0 when that is not known.
     LogOffset termBegan = 0;
+    // What it held when it was first seen to lead: no less than it took over from the one before.
+    LogOffset firstHeld = 0;
     // Named before the platform is told to promote it; it may lead at any moment from then on.
     ServerName candidate;
     // Another one had been named before it in the same change, and may lead or have led, too.
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -446,7 +446,7 @@
     primary_.clear();
     if (!old.empty())
         events_.onPrimaryLost(old);
-    lead(candidate_, report.term, report.received.offset);
+    lead(candidate_, report, true);
 }
 
 } // namespace kelptally::group
--- a/src/group/primaryholders.cpp
+++ b/src/group/primaryholders.cpp
@@ -129,6 +129,7 @@
             row.primary = primary_;
             row.term = term_;
             row.termBegan = termBegan_;
+            row.firstHeld = firstHeld_;
             row.candidate.clear();
             row.otherCandidates = false;
             row.primaryServes = false;
@@ -150,9 +151,14 @@
     if (knowsAll_)
         state.acknowledgedAtMost = acknowledged_;
     state.waited = inStep(now);
-    if (const OwnershipRecord *record = parts_.ownership.record(group_))
-        if (record->termBegan != 0)
-            state.termBegan = Position {record->term, record->termBegan};
+    // The row may lag behind what this owner has seen, or tell of a term that it has not.
+    const OwnershipRecord *record = parts_.ownership.record(group_);
+    const bool isRowsTerm = record != nullptr && record->term > term_;
+    const Position began =
+        isRowsTerm ? Position {record->term, record->termBegan} : Position {term_, termBegan_};
+    if (began.offset != 0)
+        state.termBegan = began;
+    state.inherited = isRowsTerm ? record->firstHeld : firstHeld_;
     for (const decision::LogHolder &holder : holders_.all()) {
         decision::ReplicaState replica;
         replica.server = holder.server;
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -101,6 +101,7 @@
     acknowledgedAtLeast_.reset();
     candidateIdle_ = false;
     leadUnrecorded_ = false;
+    term_ = 0;
     if (const OwnershipRecord *record = parts_.ownership.record(group_)) {
         noteTerm(record->term);
         holders_.begin(record->holders, parts_.timers.now());
@@ -216,7 +217,7 @@
     }
     const MayLead may = mayLead(server, report.term);
     if (may == MayLead::Yes)
-        return lead(server, report.term, 0);
+        return lead(server, report, false);
     // Another one has to be chosen, and this one is not waited for.
     if (may == MayLead::No)
         saidReplica_.insert(server);
@@ -268,8 +269,9 @@
 
 // The name is a copy: it may be that of the candidate, which ends here. Taken by reference it was
 // empty from then on, and the row named no primary after any change.
-void PrimaryKeeper::lead(ServerName server, Term term, LogOffset began)
+void PrimaryKeeper::lead(ServerName server, const ServerReport &report, bool isTermsBeginning)
 {
+    const Term term = report.term;
     primary_ = std::move(server);
     term_ = term;
     planned_ = false;
@@ -287,8 +289,13 @@
     holders_.onPrimary();
     const OwnershipRecord *record = parts_.ownership.record(group_);
     leadUnrecorded_ = record != nullptr && (record->term != term || record->primary != primary_);
-    const bool isRowsTerm = record != nullptr && record->term == term;
-    termBegan_ = began == 0 && isRowsTerm ? record->termBegan : began;
+    if (!isTermsBeginning && record != nullptr && record->term == term) {
+        termBegan_ = record->termBegan;
+        firstHeld_ = record->firstHeld;
+    } else {
+        termBegan_ = isTermsBeginning ? report.received.offset : 0;
+        firstHeld_ = report.received.offset;
+    }
     recordLead();
     events_.onPrimary(primary_);
     if (held_) {
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -123,7 +123,7 @@
     bool callsAreOver() const;
     MayLead mayLead(const ServerName &server, Term term) const;
     bool listedPrimaryMayAnswer(Instant now) const;
-    void lead(ServerName server, Term term, LogOffset began);
+    void lead(ServerName server, const ServerReport &report, bool isTermsBeginning);
     void watchPrimary(Instant now);
     void probePrimary(GroupServer &server);
     void onProbed(const ServerName &server, ProbeOutcome outcome);
@@ -195,8 +195,9 @@
     // acknowledged.
     std::optional<Position> acknowledged_;
     std::optional<Position> acknowledgedAtLeast_;
-    // What the primary held when its term began; 0 when that is not known.
+    // See OwnershipRecord; of the term of the primary.
     LogOffset termBegan_ = 0;
+    LogOffset firstHeld_ = 0;
     // Servers that may hold acknowledged commits, listed or not.
     decision::LogHolders holders_;
     Instant holdersWatchedAt_ {};
--- a/tests/decision/replicachoice_test.cpp
+++ b/tests/decision/replicachoice_test.cpp
@@ -178,7 +178,7 @@
 TEST_CASE("Without the last leader's log a replica must reach what its term began with")
 {
     ChoiceState state;
-    state.termBegan = Position {2, 167};
+    state.inherited = 167;
     state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106}), heard("c", {2, 160})};
     CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
     state.replicas[2].held = Position {2, 168};
--- a/tests/group/ownershiprecord_test.cpp
+++ b/tests/group/ownershiprecord_test.cpp
@@ -15,6 +15,7 @@
     record.primary = "a";
     record.term = 2;
     record.termBegan = 167;
+    record.firstHeld = 168;
     record.holders = {{"a", "10.0.1.1:8000", {}}, {"b", "10.0.1.2:8000", {2, 170}}};
     record.acknowledged = {2, 180};
     return record;
@@ -28,6 +29,7 @@
     REQUIRE(read.ok());
     CHECK(read->primary == "a");
     CHECK(read->termBegan == 167);
+    CHECK(read->firstHeld == 168);
     CHECK(read->holders == fullRecord().holders);
     CHECK(read->acknowledged == Position {2, 180});
 }
@@ -39,6 +41,7 @@
     REQUIRE(read.ok());
     CHECK(read->holders.empty());
     CHECK(read->termBegan == 0);
+    CHECK(read->firstHeld == 0);
     CHECK(read->acknowledged.term == 0);
 }
 
--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -478,3 +478,31 @@
     }
     checkRight(world);
 }
+
+// The owner is lost once it has called for the new primary, and the next owner finds that one in
+// the lead. What it took over is in its log alone, and the next owner has to know that, too, when
+// it crashes.
+TEST_CASE("A new primary that the next owner has found is waited for when it crashes")
+{
+    World world(115);
+    const Roles roles = writeToOneReplica(world);
+    const std::size_t owner = std::size_t(world.owner());
+    const std::size_t next = otherThan(world.owner());
+    world.group.crash(roles.primary);
+    world.unlist(roles.primary);
+    REQUIRE(world.runUntil(3s, [&] { return world.group.isPromoting(); }));
+    world.freeze(owner, 60s);
+    REQUIRE(world.runUntil(3s, [&] { return world.group.promotions == 1; }));
+    REQUIRE(world.group.primary() == roles.whole);
+    writeFor(world, next, 2s);
+    REQUIRE(ownerRow(world).owner.address != addressOf(owner));
+    REQUIRE(ownerRow(world).primary == roles.whole);
+    CHECK(ownerRow(world).firstHeld >= 20);
+    world.group.crash(roles.whole);
+    writeFor(world, next, 16s);
+    world.group.restart(roles.whole);
+    world.group.servers().at(roles.lagging).deaf = false;
+    CHECK(world.timeToWrite(next, 10s));
+    CHECK(world.group.promotions == 1);
+    checkRight(world);
+}
