What a cut link delivers late meets no later transaction of its session

Cause: a link that was cut delivers after the one dialled beside it. A begin or a commit that its entry had given up came to the owner behind the end of its transaction and the session's next begin: it took the place of that transaction, or committed it. Change: the owner keeps for each session the newest number used in a transaction or ended, as long as such copies may come, and refuses older ones that it does not know as not run (statement_overtaken).

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -175,17 +175,22 @@
     }
     // 2. Anything else runs once: a second copy waits for the first one's answer, or gets it. One
     // that may be a copy of a forgotten statement does not run.
-    const bool mayBeForgotten = statement.requestId <= entry->forgottenUpTo
-        && entry->answers.count(statement.requestId) == 0;
-    if (mayBeForgotten) {
-        inner::StatementDone done;
-        done.requestId = statement.requestId;
-        done.reason = Reason::Unconfirmed;
-        done.executed = Executed::Unknown;
-        done.detail = "it may have run already, and its answer is not kept any more";
-        static_cast<void>(parts_.links.sendOn(link, std::move(done)));
-        return;
+    const bool isKnown = entry->answers.count(statement.requestId) != 0;
+    if (!isKnown && statement.requestId <= entry->forgottenUpTo)
+        return refuse(link, statement.requestId, Reason::Unconfirmed, Executed::Unknown,
+                      "it may have run already, and its answer is not kept any more");
+    // 3. A link that was cut may deliver after the one that was dialled beside it. A begin from it
+    // would take the place of the session's next transaction, and a commit would commit that one.
+    if (!isKnown && isOvertaken(*entry, statement)) {
+        parts_.log.info("statement_overtaken")
+            .with("id", statement.statementId)
+            .with("group", group)
+            .with("session", statement.session);
+        return refuse(link, statement.requestId, Reason::TransactionEnded, Executed::No,
+                      "its session has gone on without it");
     }
+    if (statement.inTransaction)
+        noteSession(*entry, statement.session, statement.requestId);
     entry->newest = std::max(entry->newest, statement.requestId);
     const auto [answer, isNew] = entry->answers.try_emplace(statement.requestId);
     answer->second.link = link;
@@ -223,12 +228,55 @@
         entry.answers.erase(entry.answered.front().second);
         entry.answered.pop_front();
     }
+    forgetSessions(entry);
+}
+
+void GroupHost::refuse(inner::LinkId link, inner::RequestId id, Reason reason, Executed executed,
+                       const std::string &detail)
+{
+    inner::StatementDone done;
+    done.requestId = id;
+    done.reason = reason;
+    done.executed = executed;
+    done.detail = detail;
+    static_cast<void>(parts_.links.sendOn(link, std::move(done)));
+}
+
+void GroupHost::noteSession(Entry &entry, std::uint64_t session, inner::RequestId number)
+{
+    const auto [known, isNew] = entry.sessions.try_emplace(session, number);
+    if (!isNew && number <= known->second)
+        return;
+    entry.sessionsByNumber.erase({known->second, session});
+    known->second = number;
+    entry.sessionsByNumber.insert({number, session});
+}
+
+void GroupHost::forgetSessions(Entry &entry)
+{
+    while (!entry.sessionsByNumber.empty()) {
+        const auto oldest = entry.sessionsByNumber.begin();
+        if (oldest->first > entry.forgottenUpTo)
+            return;
+        entry.sessions.erase(oldest->second);
+        entry.sessionsByNumber.erase(oldest);
+    }
+}
+
+bool GroupHost::isOvertaken(const Entry &entry, const inner::RunStatement &statement)
+{
+    const auto session = entry.sessions.find(statement.session);
+    return statement.inTransaction && session != entry.sessions.end()
+        && statement.requestId <= session->second;
 }
 
 void GroupHost::onEndTransaction(inner::LinkId link, const inner::EndTransaction &end)
 {
-    if (const Entry *entry = entryOf(link))
-        endTransaction(entry->origin, end);
+    Entry *entry = entryOf(link);
+    if (entry == nullptr)
+        return;
+    noteSession(*entry, end.session, end.begunBy);
+    endTransaction(entry->origin, end);
 }
 
 GroupHost::Entry *GroupHost::entryOf(inner::LinkId link)
@@ -309,6 +357,7 @@
     entry.forgottenUpTo = entry.newest;
     entry.answers.clear();
     entry.answered.clear();
+    forgetSessions(entry);
     for (const auto &[group, held] : groups_)
         held.runner->onOriginGone(entry.origin);
 }
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -113,9 +113,20 @@
         // any more.
         inner::RequestId forgottenUpTo = 0;
         inner::RequestId newest = 0;
+        // The newest number that each session has used in a transaction or ended one with, and the
+        // same by number. An older one that comes now was given up there.
+        std::unordered_map<std::uint64_t, inner::RequestId> sessions;
+        std::set<std::pair<inner::RequestId, std::uint64_t>> sessionsByNumber;
     };
 
     Entry *entryOf(inner::LinkId link);
+    static void noteSession(Entry &entry, std::uint64_t session, inner::RequestId number);
+    // Those whose numbers are all forgotten.
+    static void forgetSessions(Entry &entry);
+    // Of a transaction that its session has left behind since.
+    static bool isOvertaken(const Entry &entry, const inner::RunStatement &statement);
+    void refuse(inner::LinkId link, inner::RequestId id, Reason reason, Executed executed,
+                const std::string &detail);
     void onAnswered(const std::string &address, inner::LinkId origin, inner::StatementDone done);
     // What its sessions have open is rolled back.
     void endEntry(Entry &entry);
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -58,6 +58,7 @@
     bool isOpen() const override { return open_; }
     const std::string &from() const { return from_; }
     void silence() { silent_ = true; }
+    bool inTransaction() const { return inTransaction_; }
     void onEnd(std::function<void()> callback) override { onEnd_ = std::move(callback); }
 
     // The server or the way to it has broken the connection.
@@ -122,6 +123,8 @@
         const bool commits = command.text == "COMMIT"
             || (command.text.compare(0, 5, "WRITE") == 0 && !inTransaction_);
         if (command.kind == CommandKind::Statement && commits && check(command, result)) {
+            if (command.text == "COMMIT")
+                group_.committedWith["s" + command.id] = statements_;
             if (command.text != "COMMIT" || wrote_)
                 return commit(index, command.id);
             inTransaction_ = false;
@@ -171,6 +174,7 @@
                 return;
             inTransaction_ = true;
             wrote_ = false;
+            statements_.clear();
             readOnly_ = command.kind == CommandKind::BeginReadOnly;
             return;
         case CommandKind::Rollback:
@@ -186,6 +190,8 @@
             for (std::size_t i = 0; i < s.applied; ++i)
                 result.rows.push_back(s.log[i].id);
             result.signature = "s" + command.id;
+            if (inTransaction_)
+                statements_.push_back(result.signature);
             return;
         case CommandKind::StopReceiving:
             if (!s.primary && command.term > std::max(s.term, s.stoppedUnder))
@@ -263,6 +269,8 @@
     bool inTransaction_ = false;
     bool readOnly_ = false;
     bool wrote_ = false;
+    // Signatures of what has run in the transaction that is open.
+    std::vector<std::string> statements_;
 };
 
 ModelGroup::ModelGroup(ManualTimerService &timers, GroupName name, Violations &violations)
@@ -361,6 +369,15 @@
     return furthest->second.log;
 }
 
+int ModelGroup::openTransactions() const
+{
+    int open = 0;
+    for (const auto &[id, server] : servers_)
+        open += int(std::count_if(server.connections.begin(), server.connections.end(),
+                                  [](const auto &each) { return each->inTransaction(); }));
+    return open;
+}
+
 int ModelGroup::timesCommitted(const std::string &id) const
 {
     const auto &log = newestLog();
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -152,6 +152,11 @@
 
     int promotions = 0;
     int commits = 0;
+    // Signatures of the statements before the commit of each transaction that was committed, by
+    // that of its commit.
+    std::map<std::string, std::vector<std::string>> committedWith;
+    // Connections in a transaction.
+    int openTransactions() const;
     // Acknowledged commits that were lost because every server that held them is gone for good.
     int unavoidablyLost = 0;
 
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -170,8 +170,10 @@
         ModelHost *target = other(to);
         if (target == nullptr || host.world.silentLinks.count(link) != 0)
             return;
-        target->timers.subscribeAfter(
-            linkDelay, [target, link, mine = host.address] { target->links->end(link, mine); });
+        host.world.afterDelay(link, [target, link, mine = host.address] {
+            target->timers.subscribeAfter(linkDelay,
+                                          [target, link, mine] { target->links->end(link, mine); });
+        });
     }
 
     void dial(const std::string &to)
@@ -238,12 +240,15 @@
         ModelHost *target = other(end->second);
         // Lost on the way: the sender notices by silence.
         const bool silent = host.world.silentLinks.count(link) != 0;
-        if (target == nullptr || host.isAlone() || target->isAlone() || silent)
+        const bool delayed = host.world.delayedLinks.count(link) != 0;
+        if (target == nullptr || silent || (!delayed && (host.isAlone() || target->isAlone())))
             return absl::OkStatus();
-        target->timers.subscribeAfter(linkDelay, [target, link, message = std::move(message)] {
-            const bool lost = target->world.silentLinks.count(link) != 0;
-            if (!lost && target->links->ends.count(link) != 0)
-                target->links->events.onPeerMessage(link, message);
+        host.world.afterDelay(link, [target, link, message = std::move(message)] {
+            target->timers.subscribeAfter(linkDelay, [target, link, message] {
+                const bool lost = target->world.silentLinks.count(link) != 0;
+                if (!lost && target->links->ends.count(link) != 0)
+                    target->links->events.onPeerMessage(link, message);
+            });
         });
         return absl::OkStatus();
     }
@@ -571,6 +576,29 @@
             silentLinks.insert(link);
 }
 
+void World::delayLinks()
+{
+    for (const auto &host : hosts)
+        for (const auto &[link, to] : host->links->ends)
+            delayedLinks.insert(link);
+}
+
+void World::deliverDelayed()
+{
+    delayedLinks.clear();
+    std::vector<std::function<void()>> delayed;
+    delayed.swap(delayed_);
+    for (const auto &deliver : delayed)
+        deliver();
+}
+
+void World::afterDelay(inner::LinkId link, std::function<void()> deliver)
+{
+    if (delayedLinks.count(link) == 0)
+        return deliver();
+    delayed_.push_back(std::move(deliver));
+}
+
 void World::resetLinks()
 {
     for (const auto &host : hosts)
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -65,6 +65,11 @@
     void freeze(std::size_t host, Duration time);
     // Links between hosts that are open now carry nothing any more, and neither end is told.
     void silenceLinks();
+    // Links between hosts that are open now deliver nothing for the time being, and neither end is
+    // told.
+    void delayLinks();
+    // Whatever was sent on them, their ends included, arrives in its order, and they carry again.
+    void deliverDelayed();
     // All links between hosts end; their processes live.
     void resetLinks();
     // The host reaches nothing and nothing reaches it.
@@ -138,9 +143,12 @@
     int reads = 0;
 
     std::set<inner::LinkId> silentLinks;
+    std::set<inner::LinkId> delayedLinks;
 
 private:
     void endLinks(ModelHost &host);
+    // At once, or when delayed links deliver again.
+    void afterDelay(inner::LinkId link, std::function<void()> deliver);
     inner::RunStatement statement(const std::string &id);
     OutcomePtr change(std::size_t host, inner::RunStatement statement);
     // What hosts are configured with.
@@ -149,6 +157,7 @@
     void readRegistry(std::size_t host);
 
     std::unique_ptr<ModelRegistry> registry_;
+    std::vector<std::function<void()>> delayed_;
     int organisations_ = 0;
     double quota_ = 0;
     ConfigVersion version_ = 1;
