--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -592,6 +592,11 @@
         violations_.add("a fencing token went down: " + std::to_string(token) + " after "
                         + std::to_string(highestToken_));
     highestToken_ = std::max(highestToken_, token);
+    if (turnedAwayCalls > 0) {
+        --turnedAwayCalls;
+        onTurnedAway(id);
+        return group::PromotionOutcome::TryAgain;
+    }
     if (!servers_.at(id).running)
         return group::PromotionOutcome::NotRunning;
     if (primary() == id)
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -150,6 +150,10 @@
     // Whether entries tell when their servers started.
     bool tellsStart = true;
 
+    // So many calls are turned away for the moment; what happens at each.
+    int turnedAwayCalls = 0;
+    std::function<void(const ServerName &)> onTurnedAway;
+
     int promotions = 0;
     int commits = 0;
     // Signatures of the statements before the commit of each transaction that was committed, by
--- a/tests/host/world.cpp
+++ b/tests/host/world.cpp
@@ -346,8 +346,10 @@
 {
     if (!reachesStore())
         return hang(answer);
+    const Duration late = isWrite ? world.store.writeDelay : Duration(0);
+    world.store.delayedWrites += late == Duration(0) ? 0 : 1;
     world.timers.subscribeAfter(
-        storeDelay / 2, [this, alive = timers.alive, work, isWrite, answer, counts] {
+        storeDelay / 2 + late, [this, alive = timers.alive, work, isWrite, answer, counts] {
             world.store.calls += counts ? 1 : 0;
             if (world.store.down || world.store.refused.count(address) != 0) {
                 if (*alive)
--- a/tests/host/world.h
+++ b/tests/host/world.h
@@ -33,6 +33,9 @@
     std::set<std::string> refused;
     // Part of the writes that are done and not answered.
     double lostAnswers = 0;
+    // Writes sent from now on take effect this much later; how many did or will.
+    Duration writeDelay {0};
+    int delayedWrites = 0;
 };
 
 struct ModelHost;
