Mends of the review: nobody stands in for a log, late claims, calls turned away, slots

Cause: shown by review_test. A server at a lost one's address was trusted by an old sight of the other; a host forgot what it had seen vanish when the row did not name it; between two calls of a planned change acknowledgements were not held back; a claim that takes effect 6 s late guarded the owner before for less than its lease; what was under way at the primary beside a commit counted as acknowledged; an owner that alone reached too few replicas kept the group; a primary of an unknown higher term was told to step down under too low a term, for ever. Change: a server at the address of a missing one only ends the wait for that. Vanished servers stay known for 15 s beside the row. A call that is turned away in a planned change goes back to the candidate's confirmation. Claims guard 7 s for their effect, and the next renewal cuts that to what is needed; an owner that hands over lets its lease grow no more. Surely acknowledged is what was shown less the server's slots. noteWaiting asks for an owner that reaches the unheard replica. Rows no longer tell what holders held. Left: a replica whose entry lapsed for good and that goes on confirming.

--- a/src/decision/logholders.cpp
+++ b/src/decision/logholders.cpp
@@ -6,45 +6,41 @@
 
 namespace {
 
-const LogHolder *find(const std::vector<LogHolder> &holders, const ServerName &server)
-{
-    const auto found = std::find_if(holders.begin(), holders.end(), [&](const LogHolder &holder) {
-        return holder.server == server;
-    });
-    return found == holders.end() ? nullptr : &*found;
-}
+// An owner tells the row of servers within a second or so of hearing of them. One that vanished
+// longer ago than this, and that the row does not name, was seen not to be needed.
+constexpr Duration untilTold = std::chrono::seconds(15);
 
-template <typename Predicate>
-void removeIf(std::vector<LogHolder> &holders, Predicate predicate)
+bool contains(const std::vector<LogHolder> &holders, const ServerName &server)
 {
-    holders.erase(std::remove_if(holders.begin(), holders.end(), predicate), holders.end());
+    return std::any_of(holders.begin(), holders.end(),
+                       [&](const LogHolder &holder) { return holder.server == server; });
 }
 
 } // namespace
 
 bool operator==(const LogHolder &a, const LogHolder &b)
 {
-    return a.server == b.server && a.endpoint == b.endpoint && a.held == b.held;
+    return a.server == b.server && a.endpoint == b.endpoint;
 }
 
 void LogHolders::begin(const std::vector<LogHolder> &named, Instant now)
 {
+    if (now - vanishedAt_ > untilTold)
+        vanished_.clear();
+    for (const LogHolder &holder : named)
+        if (!contains(vanished_, holder.server))
+            vanished_.push_back(holder);
+    dropListed();
     heldSince_.reset();
     vanishedAt_ = now;
-    vanished_ = named;
-    dropListed();
-    for (const LogHolder &holder : named)
-        if (find(listed_, holder.server) != nullptr)
-            held_[holder.server] = std::max(held_[holder.server], holder.held);
 }
 
 void LogHolders::onListed(const std::vector<LogHolder> &listed, Instant now)
 {
     for (const LogHolder &holder : listed_) {
-        if (find(listed, holder.server) != nullptr)
+        if (contains(listed, holder.server) || contains(vanished_, holder.server))
             continue;
-        vanished_.push_back({holder.server, holder.endpoint, held_[holder.server]});
-        held_.erase(holder.server);
+        vanished_.push_back(holder);
         vanishedAt_ = now;
         heldSince_.reset();
     }
@@ -54,21 +50,10 @@
 
 void LogHolders::dropListed()
 {
-    removeIf(vanished_,
-             [this](const LogHolder &holder) { return find(listed_, holder.server) != nullptr; });
-}
-
-void LogHolders::onHeld(const ServerName &server, Position position)
-{
-    const LogHolder *listed = find(listed_, server);
-    if (listed == nullptr)
-        return;
-    Position &held = held_[server];
-    held = std::max(held, position);
-    removeIf(vanished_, [&](const LogHolder &holder) {
-        const bool isKnown = holder.held != Position();
-        return isKnown && holder.endpoint == listed->endpoint && holder.held <= position;
-    });
+    const auto isListed = [this](const LogHolder &holder) {
+        return contains(listed_, holder.server);
+    };
+    vanished_.erase(std::remove_if(vanished_.begin(), vanished_.end(), isListed), vanished_.end());
 }
 
 void LogHolders::onPrimaryHeld(Position position, Instant asked)
@@ -93,24 +78,10 @@
 std::vector<LogHolder> LogHolders::all() const
 {
     std::vector<LogHolder> holders = listed_;
-    for (LogHolder &holder : holders) {
-        const auto held = held_.find(holder.server);
-        holder.held = held == held_.end() ? Position() : held->second;
-    }
     holders.insert(holders.end(), vanished_.begin(), vanished_.end());
     std::sort(holders.begin(), holders.end(),
               [](const LogHolder &a, const LogHolder &b) { return a.server < b.server; });
     return holders;
 }
 
-bool LogHolders::areNamedIn(const std::vector<LogHolder> &named) const
-{
-    const std::vector<LogHolder> holders = all();
-    return std::equal(holders.begin(), holders.end(), named.begin(), named.end(),
-                      [](const LogHolder &a, const LogHolder &b) {
-                          const bool isSame = a.server == b.server && a.endpoint == b.endpoint;
-                          return isSame && (!a.missing || a.held <= b.held);
-                      });
-}
-
 } // namespace kelptally::decision
--- a/src/decision/logholders.h
+++ b/src/decision/logholders.h
@@ -3,7 +3,6 @@
 #include "core/clock.h"
 #include "core/types.h"
 
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,10 +15,6 @@
     ServerName server;
     // "ip:port". A server that crashed comes back there with its log, also under another id.
     std::string endpoint;
-    // What it was seen to hold; term 0 when that is not known.
-    Position held;
-    // Its entry is gone from the list for now.
-    bool missing = false;
 };
 
 bool operator==(const LogHolder &a, const LogHolder &b);
@@ -31,17 +26,15 @@
 // right afterwards: it has crashed, its entry has lapsed, or this process has just started and has
 // not heard of it. A choice among the listed ones alone then promotes a server that lacks the
 // commit. So a server that has left the list stays a holder until another one is seen to hold all
-// that the primary had after it had left, or until the server that has come to its address is seen
-// to hold as much as it did: an empty one does not stand in for it.
+// that the primary had after it had left.
 class LogHolders
 {
 public:
-    // Begins with those that the group's row names.
+    // Begins with those that the group's row names, and those that vanished here a moment ago: the
+    // row may not have heard of them yet.
     void begin(const std::vector<LogHolder> &named, Instant now);
     void onListed(const std::vector<LogHolder> &listed, Instant now);
 
-    // The server was seen to hold this.
-    void onHeld(const ServerName &server, Position position);
     // The primary was asked then, and held this.
     void onPrimaryHeld(Position position, Instant asked);
     // A listed replica of the same term holds all up to this.
@@ -53,17 +46,12 @@
     const std::vector<LogHolder> &vanished() const { return vanished_; }
     // All, in a fixed order, as the row names them.
     std::vector<LogHolder> all() const;
-    // Whether a row names just these. What it tells of what they held matters only for those that
-    // are missing: another server at their address must hold as much.
-    bool areNamedIn(const std::vector<LogHolder> &named) const;
 
 private:
     void dropListed();
 
     std::vector<LogHolder> listed_;
     std::vector<LogHolder> vanished_;
-    // Highest position that each listed server was seen to hold.
-    std::map<ServerName, Position> held_;
     // When the last of them left, and what the primary held after that.
     Instant vanishedAt_ {};
     std::optional<Position> heldSince_;
--- a/src/decision/replicachoice.cpp
+++ b/src/decision/replicachoice.cpp
@@ -15,8 +15,8 @@
 Position surelyHeld(const ReplicaState &replica, const ChoiceState &state)
 {
     const Position held = *replica.held;
-    const bool lacksBeginning = state.termBegan && held.term == state.termBegan->term
-        && held.offset < state.termBegan->offset;
+    const bool lacksBeginning =
+        held.term == state.termBegan.term && held.offset < state.termBegan.offset;
     return lacksBeginning ? Position {0, held.offset} : held;
 }
 
@@ -33,17 +33,14 @@
 {
     Missing missing;
     for (const ReplicaState &replica : replicas) {
-        const auto standIn =
-            std::find_if(replicas.begin(), replicas.end(), [&](const ReplicaState &other) {
-                return other.held && other.endpoint == replica.endpoint;
-            });
-        const bool isReplaced = standIn != replicas.end();
-        const bool hasItsLog =
-            isReplaced && replica.seen != Position() && replica.seen <= *standIn->held;
-        if (replica.held || hasItsLog) {
+        if (replica.held) {
             missing.hasLastLeader = missing.hasLastLeader && !replica.isLastLeader;
             continue;
         }
+        const bool isReplaced =
+            std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaState &other) {
+                return other.held && other.endpoint == replica.endpoint;
+            });
         ++missing.all;
         missing.awaited += isReplaced ? 0 : 1;
     }
--- a/src/decision/replicachoice.h
+++ b/src/decision/replicachoice.h
@@ -18,8 +18,6 @@
     // What it held once it had been stopped from receiving, by this owner and in this change;
     // nothing as long as it has not said so.
     std::optional<Position> held;
-    // What it was seen to hold before; term 0 when that is not known.
-    Position seen;
     bool isLastLeader = false;
     // Leaving, or it has failed as a candidate: taken only if no other holds as much.
     bool avoided = false;
@@ -36,7 +34,7 @@
     std::optional<Position> acknowledgedAtMost;
     // Where the newest known term began: the last leader's position when it was promoted. A
     // server may show that term and not yet have received what it began with.
-    std::optional<Position> termBegan;
+    Position termBegan;
     // What the last leader had taken over from the one before it, or more than that.
     LogOffset inherited = 0;
     // Since the replicas were first told to stop.
@@ -77,9 +75,8 @@
 // What the last leader took over from the one before it was in its log alone when its term began.
 // So without that log a replica is taken only if it reaches that far.
 //
-// A server at the address of another one has its log if it holds as much as that one was seen to
-// hold. Else that log may be lost for good: it is missing, but nobody waits for it. With none left
-// that could come back, the highest is taken.
+// Once another server is at the address of a missing one nobody waits for that: it has brought the
+// log, or the log is lost for good. With none left to wait for the highest is taken.
 ReplicaChoice chooseReplica(const ChoiceState &state);
 
 } // namespace kelptally::decision
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -141,15 +141,6 @@
     return oldest;
 }
 
-// Commits that the primary may have put into its log beside this one.
-int GroupRunner::commitsBeside(const JobPtr &job) const
-{
-    return static_cast<int>(
-        std::count_if(running_.begin(), running_.end(), [&](const JobPtr &other) {
-            return other != job && other->server == job->server && commits(other->statement);
-        }));
-}
-
 // Leaves something in the log, where a replica must receive it before it is acknowledged.
 bool GroupRunner::needsConfirmation(const JobPtr &job) const
 {
@@ -258,7 +249,7 @@
         Unverified verified = std::move(unverified_.front());
         unverified_.pop_front();
         if (verified.done.position)
-            keeper_.onAcknowledged(*verified.done.position, 0);
+            keeper_.onAcknowledged(*verified.done.position);
         finish(verified.job, std::move(verified.done));
     }
 }
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -179,7 +179,6 @@
     void onRestarted(GroupServer &server);
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
     std::optional<Instant> oldestWrite() const;
-    int commitsBeside(const JobPtr &job) const;
     bool needsConfirmation(const JobPtr &job) const;
     void watchSoon();
     GroupServer *find(const ServerName &id);
--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -187,7 +187,7 @@
     if (keeps && result.position) {
         done.position = result.position;
         if (!onlyRead && !verify)
-            keeper_.onAcknowledged(*result.position, commitsBeside(job));
+            keeper_.onAcknowledged(*result.position);
     }
     if (job->statement.inTransaction) {
         const auto open = transactions_.find(job->origin);
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -13,8 +13,10 @@
 constexpr Duration feedWait = std::chrono::seconds(20);
 // The row is read this often, so that a lost answer or two leave most of the lease.
 constexpr Duration renewPeriod = std::chrono::milliseconds(2500);
-// A claim that is read and written within this time still knows the guard of its row.
-constexpr Duration claimTime = std::chrono::seconds(3);
+// From the reading of a row to the effect of the write that follows it. Writes without an answer
+// were seen to take effect up to 6 s later, and the owner before finds its row unchanged, and its
+// lease made longer, until then.
+constexpr Duration claimTime = std::chrono::seconds(7);
 // A claim that the store did not even let read its row is tried again after this pause.
 constexpr Duration claimPause = std::chrono::milliseconds(250);
 // Questions about one group, to the store or to peers, are this far apart.
@@ -321,7 +323,7 @@
         const std::vector<decision::EarlierOwner> unnamed(1);
         const auto &listed = before.earlier.empty() ? unnamed : before.earlier;
         nameEarlier(record, isGuarded ? listed : std::vector<decision::EarlierOwner>(),
-                    {before.owner, before.epoch}, serviceTime);
+                    {before.owner, before.epoch}, serviceTime + claimTime);
     }
     entries_[group].claimedAsked = why == asked;
     parts_.log.info("claim", why)
@@ -349,10 +351,10 @@
 // Owners before the next one, and until when they may act.
 void OwnershipTable::nameEarlier(OwnershipRecord &record,
                                  const std::vector<decision::EarlierOwner> &open,
-                                 const decision::EarlierOwner &before, Duration serviceTime)
+                                 const decision::EarlierOwner &before, Duration lastRenewal)
 {
     record.earlier = decision::EarlierOwners::listWith(open, !open.empty(), before);
-    record.guardedUntil = serviceTime + claimTime + lease + clockMargin;
+    record.guardedUntil = lastRenewal + lease + clockMargin;
 }
 
 void OwnershipTable::noteServiceTime(const services::TableRow &row, Instant asked)
@@ -380,6 +382,8 @@
     entry.etag = etag;
     entry.inheritedGuard = before.guardedUntil;
     const bool guarded = before.guardedUntil != Duration(0);
+    const std::optional<Duration> told = this->serviceTime();
+    entry.latestGuard = told ? *told + lease + clockMargin : Duration(0);
     const bool timeKnown = serviceTime != Duration(0);
     const Duration guard = timeKnown ? before.guardedUntil - serviceTime : lease + clockMargin;
     entry.earlier.begin(now, before.earlier, guarded ? guard : Duration(0), parts_.self);
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -139,6 +139,8 @@
         bool known = false;
         // A claim or a change of the own row is under way.
         bool writing = false;
+        // The row that is being written names another owner: this one's lease grows no more.
+        bool handingOver = false;
         bool claimPlanned = false;
         Instant claimAfter {};
         // The row and the peers are not asked again before then.
@@ -151,6 +153,9 @@
         // The last of them, and the guard of those before it as its row had it.
         decision::EarlierOwner before;
         Duration inheritedGuard {0};
+        // No owner before this one can act longer, by the service's clock: the claim had taken
+        // effect when that was told. 0 when it is not known.
+        Duration latestGuard {0};
         // The group was claimed because its owner asked for it.
         bool claimedAsked = false;
     };
@@ -192,7 +197,7 @@
     std::optional<Duration> serviceTime() const;
     static void nameEarlier(OwnershipRecord &record,
                             const std::vector<decision::EarlierOwner> &open,
-                            const decision::EarlierOwner &before, Duration serviceTime);
+                            const decision::EarlierOwner &before, Duration lastRenewal);
     void onEarlierEnded(const GroupName &group, const std::string &address,
                         const std::string &proof);
 
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -128,7 +128,8 @@
         if (entry.record.epoch != epoch)
             return;
         noteServiceTime(**row, sent);
-        entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
+        if (!entry.handingOver)
+            entry.leaseUntil = std::max(entry.leaseUntil, sent + lease);
         if (!entry.writing)
             entry.etag = (*row)->etag;
         clearGuard(group);
@@ -198,8 +199,11 @@
 {
     const Entry &entry = entries_[group];
     const std::size_t open = entry.earlier.open(parts_.timers.now()).size();
+    // The claim wrote a longer guard than it needs, should it have taken effect late.
+    const bool isTooLong =
+        entry.latestGuard != Duration(0) && entry.record.guardedUntil > entry.latestGuard;
     if (owns(group) && entry.record.guardedUntil != Duration(0) && !entry.writing
-        && open < entry.record.earlier.size())
+        && (open < entry.record.earlier.size() || isTooLong))
         change(
             group, [](OwnershipRecord &) {}, [](const absl::Status &) {});
 }
--- a/src/group/ownershiprecord.cpp
+++ b/src/group/ownershiprecord.cpp
@@ -43,8 +43,6 @@
         writer.beginObject();
         writer.member("server", holder.server);
         writer.member("endpoint", holder.endpoint);
-        writer.member("held_term", holder.held.term);
-        writer.member("held_offset", holder.held.offset);
         writer.endObject();
     }
     writer.endArray();
@@ -87,8 +85,7 @@
         return holders;
     for (const JsonValue &each : list->items) {
         FieldReader holder(each);
-        const Position held {holder.whole("held_term"), holder.whole("held_offset")};
-        holders.push_back({holder.text("server"), holder.text("endpoint"), held});
+        holders.push_back({holder.text("server"), holder.text("endpoint")});
         if (holder.error())
             fields.refuse("holders", holder.error()->fault);
     }
--- a/src/group/ownershipwrites.cpp
+++ b/src/group/ownershipwrites.cpp
@@ -123,6 +123,8 @@
         record.guardedUntil = Duration(0);
     else if (!entry.earlier.mayAct(entry.before, now))
         record.guardedUntil = std::min(record.guardedUntil, entry.inheritedGuard);
+    if (entry.latestGuard != Duration(0))
+        record.guardedUntil = std::min(record.guardedUntil, entry.latestGuard);
     const OwnerEpoch epoch = entry.record.epoch;
     write(group, record, entry.etag, true,
           [this, group, record, epoch, callback = std::move(callback)](absl::Status written) {
@@ -154,8 +156,11 @@
     record.epoch += 1;
     record.owner = to;
     record.zone = zone;
+    entry.handingOver = true;
     write(group, record, entry.etag, true,
           [this, group, record, callback = std::move(callback)](absl::Status written) {
+              // While it may yet take effect, the lease must not grow.
+              entries_[group].handingOver = absl::IsUnknown(written);
               if (written.ok())
                   applyRecord(group, record, entries_[group].etag);
               callback(written);
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -53,6 +53,7 @@
     planned_ = planned;
     oldPrimary_ = primary_.empty() ? lastLeader() : primary_;
     oldIsReplica_ = false;
+    callAfter_ = Instant();
     stopped_.clear();
     excluded_.clear();
     candidate_.clear();
@@ -152,7 +153,6 @@
     GroupServer *found = find(server);
     if (found == nullptr)
         return;
-    holders_.onHeld(server, report.received);
     if (replacing_ && server == oldPrimary_ && report.term <= term_)
         return;
     // The old primary is back, or another leads already.
@@ -198,8 +198,13 @@
     if (may == MayLead::Yes)
         return cancelChange(server.id());
     const bool mayChange = parts_.ownership.leaseHolds(group_) && parts_.ownership.isAlone(group_);
-    if (may == MayLead::No && mayChange)
-        ask(server, CommandKind::StepDown, stopTerm_, reportTimeout, [](const ServerReport &) {});
+    if (may != MayLead::No || !mayChange)
+        return;
+    // It steps down for a higher term only: a former candidate that has led and come back under
+    // another id may show the one that was to be used.
+    if (report.term >= stopTerm_)
+        stopTerm_ = highestTerm_ + 1;
+    ask(server, CommandKind::StepDown, stopTerm_, reportTimeout, [](const ServerReport &) {});
 }
 
 // Whether all replicas but the candidate receive nothing more. One that is neither listed nor
@@ -325,7 +330,7 @@
         events_.onNotReplacedYet(now, lastPosition);
         return abandonPlanned();
     }
-    if (now - askedAt_ < leadPoll)
+    if (now < callAfter_ || now - askedAt_ < leadPoll)
         return;
     askedAt_ = now;
     ask(*server, CommandKind::Report, 0, reportTimeout,
@@ -373,6 +378,12 @@
                 stopTerm_ = highestTerm_ + 1;
                 return enter(Step::StoppingReplicas);
             }
+            // Until it is called for again, others may confirm what the candidate lacks.
+            if (outcome == PromotionOutcome::TryAgain && planned_) {
+                callAfter_ = parts_.timers.now() + callPause;
+                askedAt_ = Instant();
+                return enter(Step::Confirming);
+            }
             if (outcome == PromotionOutcome::TryAgain) {
                 parts_.timers.subscribeAfter(callPause, [this, alive, change] {
                     if (*alive && change == change_)
--- a/src/group/primaryholders.cpp
+++ b/src/group/primaryholders.cpp
@@ -1,5 +1,7 @@
 #include "group/primarykeeper.h"
 
+#include <algorithm>
+
 // Which servers may hold acknowledged commits, what is known of their logs, and what the row tells
 // the next owner of both.
 namespace kelptally::group {
@@ -21,11 +23,15 @@
 
 // Acknowledgements
 
-void PrimaryKeeper::onAcknowledged(Position shown, int beside)
+// Above the commit there may be as many as the server runs at a time, this owner's and those of the
+// one before, that are not acknowledged and never will be.
+void PrimaryKeeper::onAcknowledged(Position shown)
 {
     raise(acknowledged_, shown);
-    const auto unsure = std::min(shown.offset, static_cast<LogOffset>(beside));
-    raise(acknowledgedAtLeast_, {shown.term, shown.offset - unsure});
+    const GroupServer *server = find(primary_);
+    const auto slots = static_cast<LogOffset>(server == nullptr ? 0 : server->slots());
+    if (server != nullptr && shown.offset > slots)
+        raise(acknowledgedAtLeast_, {shown.term, shown.offset - slots});
 }
 
 // Here, or by what an earlier owner left in the row.
@@ -45,7 +51,7 @@
 {
     std::vector<decision::LogHolder> listed;
     for (const auto &[id, server] : servers_)
-        listed.push_back({id, server->listed().endpoint, {}, server->listed().missing});
+        listed.push_back({id, server->listed().endpoint});
     return listed;
 }
 
@@ -54,9 +60,6 @@
     if (now - holdersWatchedAt_ < askPeriod)
         return;
     holdersWatchedAt_ = now;
-    for (const auto &[id, server] : servers_)
-        if (server->seen.shown)
-            holders_.onHeld(id, *server->seen.shown);
     const bool mayKnowAll = !knowsAll_ && aloneSince_ != Instant();
     if (mayKnowAll || !holders_.vanished().empty())
         askWhatIsHeld(now);
@@ -76,10 +79,7 @@
 
 void PrimaryKeeper::onHeld(const ServerName &server, const ServerReport &report, Instant asked)
 {
-    if (step_ != Step::Leading)
-        return;
-    holders_.onHeld(server, report.received);
-    if (report.term != term_)
+    if (step_ != Step::Leading || report.term != term_)
         return;
     if (server != primary_ && !report.primary)
         return holders_.onReplicaHeld(report.received);
@@ -99,7 +99,7 @@
     if (leadUnrecorded_)
         return recordLead();
     const OwnershipRecord *record = parts_.ownership.record(group_);
-    if (record == nullptr || holders_.areNamedIn(record->holders))
+    if (record == nullptr || record->holders == holders_.all())
         return;
     rowWrittenAt_ = now;
     parts_.ownership.change(
@@ -154,16 +154,15 @@
     // The row may lag behind what this owner has seen, or tell of a term that it has not.
     const OwnershipRecord *record = parts_.ownership.record(group_);
     const bool isRowsTerm = record != nullptr && record->term > term_;
-    const Position began =
-        isRowsTerm ? Position {record->term, record->termBegan} : Position {term_, termBegan_};
-    if (began.offset != 0)
-        state.termBegan = began;
+    const Term term = isRowsTerm ? record->term : term_;
+    const LogOffset began = isRowsTerm ? record->termBegan : termBegan_;
     state.inherited = isRowsTerm ? record->firstHeld : firstHeld_;
+    // Where its beginning is not known, nothing was acknowledged in it before it was first seen.
+    state.termBegan = {term, began != 0 ? began : state.inherited};
     for (const decision::LogHolder &holder : holders_.all()) {
         decision::ReplicaState replica;
         replica.server = holder.server;
         replica.endpoint = holder.endpoint;
-        replica.seen = holder.held;
         replica.isLastLeader = holder.server == oldPrimary_;
         const auto report = stopped_.find(holder.server);
         const auto server = servers_.find(holder.server);
@@ -181,9 +180,13 @@
 // Nothing is promoted that may lack something acknowledged, however long that takes.
 void PrimaryKeeper::noteWaiting(const decision::ReplicaChoice &choice, Instant now)
 {
-    if (inStep(now) < waitingNoted || now - waitingNotedAt_ < waitingNoted)
+    const Instant since = std::max(stepSince_, aloneSince_);
+    if (now - since < waitingNoted || now - waitingNotedAt_ < waitingNoted)
         return;
     waitingNotedAt_ = now;
+    // One that hears nobody is the one that is cut off, or all servers are.
+    if (choice.held)
+        askForHearing();
     const auto known = surelyAcknowledged();
     parts_.log.warning("promotion_waits", decision::ruleName(choice.rule))
         .with("group", group_)
@@ -193,6 +196,15 @@
         .with("unheard", unheard());
 }
 
+// Another process may reach the replicas that this one does not.
+void PrimaryKeeper::askForHearing()
+{
+    for (const auto &[id, server] : servers_)
+        if (stopped_.count(id) == 0 && id != oldPrimary_ && !server->listed().missing)
+            return parts_.ownership.askTakeOver(group_, server->listed().endpoint,
+                                                "replica_unreachable");
+}
+
 // Servers whose logs the choice does not know, and what is known of each.
 std::string PrimaryKeeper::unheard() const
 {
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -80,9 +80,8 @@
     void onServersChanged();
     // Another run of the server has begun: nothing that it said before counts any more.
     void onRestarted(const ServerName &server);
-    // The primary acknowledged a commit and showed this position, to which so many commits may have
-    // added that were under way beside it and are not acknowledged.
-    void onAcknowledged(Position shown, int beside);
+    // The primary acknowledged a commit and showed this position.
+    void onAcknowledged(Position shown);
 
 private:
     // Of one question to a server, which takes some 4 ms; and how often one without an answer is
@@ -140,6 +139,7 @@
     decision::ChoiceState choiceState(Instant now) const;
     std::optional<Position> surelyAcknowledged() const;
     void noteWaiting(const decision::ReplicaChoice &choice, Instant now);
+    void askForHearing();
     void onOtherLeader(GroupServer &server, const ServerReport &report);
     bool othersHaveStopped() const;
     void askForReach(Instant now);
@@ -228,6 +228,8 @@
     // When the replicas other than the candidate had all stopped, in a planned change.
     Instant othersStoppedAt_ {};
     Instant calledAt_ {};
+    // Not again before then: the platform has turned a call away.
+    Instant callAfter_ {};
     // From the call to the lead, in the last change.
     Duration leadTook_ {0};
     // The platform has been told to promote in this change, and may do or have done so.
--- a/tests/decision/logholders_test.cpp
+++ b/tests/decision/logholders_test.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 const Instant start = Instant(100s);
-const LogHolder a {"a", "10.0.0.1:1", {}};
-const LogHolder b {"b", "10.0.0.2:1", {}};
-const LogHolder c {"c", "10.0.0.3:1", {}};
-const LogHolder atC {"c2", c.endpoint, {}};
+const LogHolder a {"a", "10.0.0.1:1"};
+const LogHolder b {"b", "10.0.0.2:1"};
+const LogHolder c {"c", "10.0.0.3:1"};
+const LogHolder atC {"c2", c.endpoint};
 
 LogHolders withoutC()
 {
@@ -69,49 +69,26 @@
     CHECK(holders.vanished().empty());
 }
 
-TEST_CASE("Another server at its address stands in for one that vanished if it holds as much")
-{
-    LogHolders holders;
-    holders.onListed({a, b, c}, start);
-    holders.onHeld("c", {1, 100});
-    holders.onHeld("c", {1, 90});
-    holders.onListed({a, b}, start + 1s);
-    const LogHolder seen {"c", c.endpoint, {1, 100}};
-    CHECK(holders.vanished() == std::vector<LogHolder> {seen});
-    holders.onListed({a, b, atC}, start + 2s);
-    CHECK(holders.vanished().size() == 1);
-    // An empty one, and a whole one at another address, do not.
-    holders.onHeld("c2", {1, 0});
-    holders.onHeld("b", {1, 300});
-    CHECK(holders.vanished().size() == 1);
-    holders.onHeld("c2", {1, 100});
-    CHECK(holders.vanished().empty());
-}
-
-TEST_CASE("Nobody stands in for a server of which it is not known what it held")
+TEST_CASE("Another server at its address does not end what it may hold")
 {
     LogHolders holders = withoutC();
     holders.onListed({a, b, atC}, start + 2s);
-    holders.onHeld("c2", {1, 100});
     CHECK(holders.vanished() == std::vector<LogHolder> {c});
 }
 
-TEST_CASE("A row is written anew for other servers, not for what they hold meanwhile")
+TEST_CASE("What vanished here a moment ago counts beside the row, and not for ever")
 {
-    LogHolders holders;
-    holders.onListed({a, b}, start);
-    holders.onHeld("b", {1, 100});
-    const std::vector<LogHolder> named = holders.all();
-    CHECK(named[1].held == Position {1, 100});
-    holders.onHeld("b", {1, 200});
-    CHECK(holders.areNamedIn(named));
-    LogHolder missing = b;
-    missing.missing = true;
-    holders.onListed({a, missing}, start + 1s);
-    CHECK_FALSE(holders.areNamedIn(named));
-    CHECK(holders.areNamedIn(holders.all()));
-    holders.onListed({a, b, c}, start + 1s);
-    CHECK_FALSE(holders.areNamedIn(named));
+    LogHolders holders = withoutC();
+    SECTION("a moment ago")
+    {
+        holders.begin({a, b}, start + 10s);
+        CHECK(holders.vanished() == std::vector<LogHolder> {c});
+    }
+    SECTION("long ago")
+    {
+        holders.begin({a, b}, start + 20s);
+        CHECK(holders.vanished().empty());
+    }
 }
 
 TEST_CASE("A new owner goes by what the row names, whatever it has heard of servers so far")
--- a/tests/decision/replicachoice_test.cpp
+++ b/tests/decision/replicachoice_test.cpp
@@ -40,12 +40,6 @@
     return replica;
 }
 
-ReplicaState seen(ReplicaState replica, Position position)
-{
-    replica.seen = position;
-    return replica;
-}
-
 // One group at the moment at which its primary is lost: what each log holds, how much of it was
 // acknowledged, and which replicas have said what they hold.
 struct Lost
@@ -148,30 +142,25 @@
     CHECK(chooseReplica(state).server.empty());
 }
 
-TEST_CASE("A server at the address of another stands in for it if it holds as much")
+TEST_CASE(
+    "A server at the address of another has not its log for certain, but ends the wait for it")
 {
     ChoiceState state;
-    const ReplicaState gone = seen(unheard("c"), {1, 160});
-    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106}), gone,
+    state.replicas = {lastLeader(unheard("a")), heard("b", {1, 106}), unheard("c"),
                       at("c", heard("c2", {1, 167}))};
-    CHECK(chooseReplica(state).server == "c2");
-    // What the other one held is not known.
-    state.replicas[2].seen = Position();
-    CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
-    state.replicas[2].seen = Position {1, 160};
-    // An empty one shows that the other log is lost: the leader has to be heard now.
-    state.replicas[3].held = Position {1, 0};
     CHECK(chooseReplica(state).rule == ChoiceRule::TooFewHeard);
     state.replicas[0] = lastLeader(heard("a", {1, 167}));
     CHECK(chooseReplica(state).server == "a");
+    state.replicas[0] = lastLeader(unheard("a"));
+    state.replicas.push_back(at("a", heard("a2", {1, 167})));
+    CHECK(chooseReplica(state).rule == ChoiceRule::AllHeard);
 }
 
 TEST_CASE("With all missing logs lost for good the highest that is left is taken")
 {
     ChoiceState state;
-    state.replicas = {lastLeader(seen(unheard("a"), {1, 167})), at("a", heard("a2", {1, 0})),
-                      heard("b", {1, 106}), seen(unheard("c"), {1, 160}),
-                      at("c", heard("c2", {1, 0}))};
+    state.replicas = {lastLeader(unheard("a")), at("a", heard("a2", {1, 0})), heard("b", {1, 106}),
+                      unheard("c"), at("c", heard("c2", {1, 0}))};
     CHECK(chooseReplica(state).server == "b");
 }
 
--- a/tests/group/ownershiprecord_test.cpp
+++ b/tests/group/ownershiprecord_test.cpp
@@ -16,7 +16,7 @@
     record.term = 2;
     record.termBegan = 167;
     record.firstHeld = 168;
-    record.holders = {{"a", "10.0.1.1:8000", {}}, {"b", "10.0.1.2:8000", {2, 170}}};
+    record.holders = {{"a", "10.0.1.1:8000"}, {"b", "10.0.1.2:8000"}};
     record.acknowledged = {2, 180};
     return record;
 }
--- a/tests/host/review_test.cpp
+++ b/tests/host/review_test.cpp
@@ -154,9 +154,9 @@
 
 namespace {
 
-const decision::LogHolder a {"a", "10.0.0.1:1", {}};
-const decision::LogHolder b {"b", "10.0.0.2:1", {}};
-const decision::LogHolder c {"c", "10.0.0.3:1", {}};
+const decision::LogHolder a {"a", "10.0.0.1:1"};
+const decision::LogHolder b {"b", "10.0.0.2:1"};
+const decision::LogHolder c {"c", "10.0.0.3:1"};
 
 } // namespace
 
@@ -184,11 +184,10 @@
 {
     decision::LogHolders holders;
     holders.onListed({a, b, c}, Instant(100s));
-    holders.onHeld("c", {1, 20});
     // Up to 1.100 only c confirms.
-    holders.onListed({a, b, {"c2", c.endpoint, {}}}, Instant(200s));
+    holders.onListed({a, b, {"c2", c.endpoint}}, Instant(200s));
     holders.onPrimaryHeld({1, 100}, Instant(201s));
-    holders.onHeld("c2", {1, 30});
+    holders.onReplicaHeld({1, 30});
     REQUIRE(holders.vanished().size() == 1);
     CHECK(holders.vanished()[0].server == "c");
 }
