A server whose entry has lapsed counts as long as it answers

Cause: a replica that is cut off from the store only is dropped from the list 5.5 s after its entry, and goes on receiving and confirming. Change: an owner keeps such a server, without statements, and asks it each 0.5 s; it goes when it has not answered for 2 s. The guard of a claim is cut to what is needed 0.3 s after the claim. Cost: two questions a second to each server without an entry.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -14,6 +14,10 @@
 
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
+// A server without an entry is asked this often, and counts as gone when it has not answered for so
+// long: four questions. An answer takes some 4 ms, 25 on a slow host.
+constexpr Duration missingPeriod = std::chrono::milliseconds(500);
+constexpr Duration answersWithin = std::chrono::seconds(2);
 // While statements run, their connections are looked at this often.
 constexpr Duration silencePeriod = std::chrono::milliseconds(25);
 
@@ -65,16 +69,51 @@
         if (active_)
             known->warmUp();
     }
-    std::vector<ServerName> gone;
     for (const auto &[id, server] : servers_)
         if (listed.count(id) == 0)
+            server->markUnlisted();
+    dropUnlisted();
+    keeper_.onServersChanged();
+    watchMissing();
+    pumpSoon();
+}
+
+// A server whose entry has lapsed may live, and confirm commits that no other replica receives. As
+// long as it answers it is one that may hold them.
+void GroupRunner::dropUnlisted()
+{
+    const Instant now = parts_.timers.now();
+    std::vector<ServerName> gone;
+    for (const auto &[id, server] : servers_)
+        if (server->isUnlisted() && (!active_ || now - server->lastHeard() >= answersWithin))
             gone.push_back(id);
     for (const ServerName &id : gone) {
         dropServer(id);
         servers_.erase(id);
     }
-    keeper_.onServersChanged();
-    pumpSoon();
+}
+
+// Servers without an entry are asked, so that it is known whether they answer.
+void GroupRunner::watchMissing()
+{
+    const bool any = std::any_of(servers_.begin(), servers_.end(),
+                                 [](const auto &each) { return each.second->listed().missing; });
+    if (watchingMissing_ || !any)
+        return;
+    watchingMissing_ = true;
+    for (const auto &[id, server] : servers_)
+        if (active_ && server->listed().missing)
+            server->control({}, missingPeriod, [](const BatchResult &) {});
+    parts_.timers.subscribeAfter(missingPeriod, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        watchingMissing_ = false;
+        const std::size_t before = servers_.size();
+        dropUnlisted();
+        if (servers_.size() != before)
+            keeper_.onServersChanged();
+        watchMissing();
+    });
 }
 
 // Another run of a server that is known: transactions of the earlier one are gone with it.
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -176,6 +176,8 @@
     void giveUpBegin(const Origin &origin, inner::RequestId begunBy);
     void forgetTransaction(const Origin &origin, bool close);
     void dropServer(const ServerName &id);
+    void dropUnlisted();
+    void watchMissing();
     void onRestarted(GroupServer &server);
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
     std::optional<Instant> oldestWrite() const;
@@ -212,6 +214,7 @@
     bool writesHeld_ = false;
     bool pumping_ = false;
     bool watching_ = false;
+    bool watchingMissing_ = false;
     // The same, shared with callbacks of servers that have gone.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -44,6 +44,7 @@
 {
     const bool restarted = listed_.run != listed.run || listed_.endpoint != listed.endpoint;
     listed_ = listed;
+    unlisted_ = false;
     if (!restarted)
         return false;
     seen = {};
@@ -52,6 +53,15 @@
     return true;
 }
 
+void GroupServer::markUnlisted()
+{
+    unlisted_ = true;
+    listed_.missing = true;
+    listed_.leaving = true;
+    listed_.leavingSince = Instant();
+    pool_.closeIdle();
+}
+
 // Connections may have been opened to the new run before the list told of it: those stay. Any of
 // the earlier run answers nothing more, and is given up with its statement. The one for the owner's
 // own commands is opened anew in any case: an answer on it must be the new run's.
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -62,6 +62,10 @@
     // What the list says now. True when it tells of another run of the server: then nothing is
     // believed of it any more, and connections that may belong to the earlier run are closed.
     bool update(const ListedServer &listed);
+    // The list has dropped it, though it answers: it gets no statement any more, and is asked like
+    // the others what it holds.
+    void markUnlisted();
+    bool isUnlisted() const { return unlisted_; }
     // See ServerPool.
     void setMaxConnections(int count, bool byOrganisation);
     void limitConnections(int count) { pool_.limitConnections(count); }
@@ -135,6 +139,7 @@
 
     const Parts parts_;
     ListedServer listed_;
+    bool unlisted_ = false;
     ServerPool pool_;
     ServerConnectionPtr control_;
     bool controlBusy_ = false;
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -17,6 +17,9 @@
 // were seen to take effect up to 6 s later, and the owner before finds its row unchanged, and its
 // lease made longer, until then.
 constexpr Duration claimTime = std::chrono::seconds(7);
+// After a claim its guard is cut to what is needed. Owners before mostly say within 0.2 s that they
+// have ended, and then one write serves for both.
+constexpr Duration guardCut = std::chrono::milliseconds(300);
 // A claim that the store did not even let read its row is tried again after this pause.
 constexpr Duration claimPause = std::chrono::milliseconds(250);
 // Questions about one group, to the store or to peers, are this far apart.
@@ -398,6 +401,7 @@
         .with("earlier", std::uint64_t(entry.earlier.open(now).size()))
         .with("guard_ms", guarded ? std::max(Duration(0), guard) : Duration(0));
     renewOne(group);
+    parts_.timers.subscribeAfter(guardCut, [this, group] { clearGuard(group); });
     if (entry.earlier.mayAct(now) && !asking_) {
         asking_ = true;
         askPredecessors();
