Names of the mend: acknowledgedAtMost_, Uncompared; two stray comments

Cause: the review read 'missing' in three meanings and acknowledged_ as what it is not. Change: names and comments only.

No functional change

--- a/src/decision/replicachoice.cpp
+++ b/src/decision/replicachoice.cpp
@@ -21,7 +21,7 @@
 }
 
 // Of the holders whose logs are not among the compared ones.
-struct Missing
+struct Uncompared
 {
     // All of them, and those that may yet come back.
     int all = 0;
@@ -29,22 +29,22 @@
     bool hasLastLeader = true;
 };
 
-Missing missingFrom(const std::vector<ReplicaState> &replicas)
+Uncompared uncomparedOf(const std::vector<ReplicaState> &replicas)
 {
-    Missing missing;
+    Uncompared uncompared;
     for (const ReplicaState &replica : replicas) {
         if (replica.held) {
-            missing.hasLastLeader = missing.hasLastLeader && !replica.isLastLeader;
+            uncompared.hasLastLeader = uncompared.hasLastLeader && !replica.isLastLeader;
             continue;
         }
         const bool isReplaced =
             std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaState &other) {
                 return other.held && other.endpoint == replica.endpoint;
             });
-        ++missing.all;
-        missing.awaited += isReplaced ? 0 : 1;
+        ++uncompared.all;
+        uncompared.awaited += isReplaced ? 0 : 1;
     }
-    return missing;
+    return uncompared;
 }
 
 } // namespace
@@ -85,10 +85,10 @@
         return choice;
     choice.held = best->held;
     // 2. Whether it must hold everything that was acknowledged.
-    const Missing missing = missingFrom(state.replicas);
+    const Uncompared uncompared = uncomparedOf(state.replicas);
     const bool hasInherited = state.inherited <= best->held->offset;
-    const bool allHeard =
-        !missing.hasLastLeader || missing.awaited == 0 || (missing.all <= 1 && hasInherited);
+    const bool allHeard = !uncompared.hasLastLeader || uncompared.awaited == 0
+        || (uncompared.all <= 1 && hasInherited);
     const bool lacksKnown = state.acknowledgedAtLeast && most < *state.acknowledgedAtLeast;
     const bool holdsAll = state.acknowledgedAtMost && *state.acknowledgedAtMost <= most;
     if (allHeard)
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -35,7 +35,7 @@
 // A claim takes the row at any time: two owners that send statements to the same primary break no
 // promise. An owner acts only while it has seen its row unchanged within the lease, counted from
 // the sending of the question. A new owner changes the primary only when owners before it have
-// ended: their leases have run out since its claim, or they are proven dead, or they say so.
+// ended: their leases have run out since its claim, or they run anew, or they say so.
 class OwnershipTable : public session::OwnerSource
 {
 public:
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 constexpr Duration predecessorPeriod = std::chrono::milliseconds(200);
-// Other processes are asked to take a group this far apart.
 // After a loss of the service this long, owners get this time to be heard again: links were renewed
 // within 0.2 s of the service's return.
 constexpr Duration longLoss = std::chrono::seconds(1);
 constexpr Duration linksReturn = std::chrono::milliseconds(600);
 // A group is offered to hosts with room this far apart, and one group at a time.
 constexpr Duration offerPeriod = std::chrono::seconds(10);
+// Other processes are asked to take a group this far apart.
 constexpr Duration takeOverPause = std::chrono::milliseconds(500);
 // With less than this part of the lease left, others are asked to take the group while it is
 // served: the store may turn away this process alone.
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -275,7 +275,8 @@
         .with("old_primary", oldPrimary_)
         .with("positions", positions)
         .with("unheard", unheard())
-        .with("acknowledged", acknowledged_ ? positionText(*acknowledged_) : std::string("-"))
+        .with("acknowledged",
+              acknowledgedAtMost_ ? positionText(*acknowledgedAtMost_) : std::string("-"))
         .with("knows_all", knowsAll_);
     enter(Step::Recording);
     const std::uint64_t change = change_;
@@ -334,7 +335,7 @@
         return;
     askedAt_ = now;
     ask(*server, CommandKind::Report, 0, reportTimeout,
-        [this, needed = acknowledged_](const ServerReport &report) {
+        [this, needed = acknowledgedAtMost_](const ServerReport &report) {
             if (step_ == Step::Confirming && (!needed || !(report.received < *needed)))
                 call();
         });
--- a/src/group/primaryholders.cpp
+++ b/src/group/primaryholders.cpp
@@ -27,7 +27,7 @@
 // one before, that are not acknowledged and never will be.
 void PrimaryKeeper::onAcknowledged(Position shown)
 {
-    raise(acknowledged_, shown);
+    raise(acknowledgedAtMost_, shown);
     const GroupServer *server = find(primary_);
     const auto slots = static_cast<LogOffset>(server == nullptr ? 0 : server->slots());
     if (server != nullptr && shown.offset > slots)
@@ -91,7 +91,7 @@
     if (aloneSince_ == Instant() || asked < aloneSince_)
         return;
     knowsAll_ = true;
-    raise(acknowledged_, report.received);
+    raise(acknowledgedAtMost_, report.received);
 }
 
 void PrimaryKeeper::recordHolders(Instant now)
@@ -149,7 +149,7 @@
     decision::ChoiceState state;
     state.acknowledgedAtLeast = surelyAcknowledged();
     if (knowsAll_)
-        state.acknowledgedAtMost = acknowledged_;
+        state.acknowledgedAtMost = acknowledgedAtMost_;
     state.waited = inStep(now);
     // The row may lag behind what this owner has seen, or tell of a term that it has not.
     const OwnershipRecord *record = parts_.ownership.record(group_);
--- a/src/group/primarykeeper.cpp
+++ b/src/group/primarykeeper.cpp
@@ -97,7 +97,7 @@
     replacing_ = false;
     knowsAll_ = false;
     aloneSince_ = Instant();
-    acknowledged_.reset();
+    acknowledgedAtMost_.reset();
     acknowledgedAtLeast_.reset();
     candidateIdle_ = false;
     leadUnrecorded_ = false;
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -191,9 +191,9 @@
     // Servers that have said since the search for a primary began that they are none, or that may
     // not lead any more.
     std::set<ServerName> saidReplica_;
-    // What the primary had shown with the last acknowledgement, and what of that was surely
-    // acknowledged.
-    std::optional<Position> acknowledged_;
+    // Nothing above the first position has been acknowledged, if it knows all, and all up to the
+    // second one has been.
+    std::optional<Position> acknowledgedAtMost_;
     std::optional<Position> acknowledgedAtLeast_;
     // See OwnershipRecord; of the term of the primary.
     LogOffset termBegan_ = 0;
