What is surely acknowledged is exact again where nobody else commits

Change: only the commits under way here count as unsure, but for 3.5 s after an earlier owner may have committed or a commit was given up, when as many count as the server runs at a time.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -14,6 +14,9 @@
 
 // What waits is looked at this often when no event brings it forward.
 constexpr Duration pumpPeriod = std::chrono::milliseconds(10);
+// An earlier owner's open transactions end within 1.5 s, and a server drops a connection whose
+// other end is gone after 3 s: until then it may run a commit that nobody waits for.
+constexpr Duration strangersStay = std::chrono::milliseconds(3500);
 // A server without an entry is asked this often, and counts as gone when it has not answered for so
 // long: four questions. An answer takes some 4 ms, 25 on a slow host.
 constexpr Duration missingPeriod = std::chrono::milliseconds(500);
@@ -141,6 +144,7 @@
 void GroupRunner::onAcquired()
 {
     active_ = true;
+    strangersAt_ = parts_.timers.now();
     positions_.clear();
     commits_.reset();
     for (const auto &[id, server] : servers_)
@@ -180,6 +184,22 @@
     return oldest;
 }
 
+// Commits that the primary may have put into its log behind this one: those under way here, or as
+// many as it runs at a time where others may be under way, too.
+int GroupRunner::commitsBeside(const JobPtr &job)
+{
+    const Instant now = parts_.timers.now();
+    if (!parts_.ownership.isAlone(group_))
+        strangersAt_ = now;
+    const GroupServer *server = find(job->server);
+    if (server != nullptr && now - strangersAt_ < strangersStay)
+        return server->slots();
+    return static_cast<int>(
+        std::count_if(running_.begin(), running_.end(), [&](const JobPtr &other) {
+            return other != job && other->server == job->server && commits(other->statement);
+        }));
+}
+
 // Leaves something in the log, where a replica must receive it before it is acknowledged.
 bool GroupRunner::needsConfirmation(const JobPtr &job) const
 {
@@ -288,7 +308,7 @@
         Unverified verified = std::move(unverified_.front());
         unverified_.pop_front();
         if (verified.done.position)
-            keeper_.onAcknowledged(*verified.done.position);
+            keeper_.onAcknowledged(*verified.done.position, commitsBeside(verified.job));
         finish(verified.job, std::move(verified.done));
     }
 }
@@ -594,6 +614,8 @@
     }
     // 2. It runs: the connection is given up with it.
     const bool kept = commits(job->statement);
+    if (kept)
+        strangersAt_ = parts_.timers.now();
     refuse(job, Reason::DeadlineExceeded, kept ? Executed::Unknown : Executed::No,
            "the server did not answer in time");
     job->connection->connection->close();
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -181,6 +181,7 @@
     void onRestarted(GroupServer &server);
     void onTrouble(const ServerName &server, ConnectOutcome outcome);
     std::optional<Instant> oldestWrite() const;
+    int commitsBeside(const JobPtr &job);
     bool needsConfirmation(const JobPtr &job) const;
     void watchSoon();
     GroupServer *find(const ServerName &id);
@@ -215,6 +216,9 @@
     bool pumping_ = false;
     bool watching_ = false;
     bool watchingMissing_ = false;
+    // When commits may last have run at the primary that are not among the running ones here: an
+    // earlier owner's, or such as were given up.
+    Instant strangersAt_ {};
     // The same, shared with callbacks of servers that have gone.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/group/grouprunnerwork.cpp
+++ b/src/group/grouprunnerwork.cpp
@@ -187,7 +187,7 @@
     if (keeps && result.position) {
         done.position = result.position;
         if (!onlyRead && !verify)
-            keeper_.onAcknowledged(*result.position);
+            keeper_.onAcknowledged(*result.position, commitsBeside(job));
     }
     if (job->statement.inTransaction) {
         const auto open = transactions_.find(job->origin);
@@ -281,6 +281,8 @@
         .with("server", job->server)
         .with("read", isRead(job->statement));
     const ServerName server = job->server;
+    if (session::commits(job->statement))
+        strangersAt_ = parts_.timers.now();
     release(job, false);
     forgetTransaction(job->origin, true);
     onTrouble(server, ConnectOutcome::Failed);
--- a/src/group/primaryholders.cpp
+++ b/src/group/primaryholders.cpp
@@ -23,15 +23,12 @@
 
 // Acknowledgements
 
-// Above the commit there may be as many as the server runs at a time, this owner's and those of the
-// one before, that are not acknowledged and never will be.
-void PrimaryKeeper::onAcknowledged(Position shown)
+void PrimaryKeeper::onAcknowledged(Position shown, int beside)
 {
     raise(acknowledgedAtMost_, shown);
-    const GroupServer *server = find(primary_);
-    const auto slots = static_cast<LogOffset>(server == nullptr ? 0 : server->slots());
-    if (server != nullptr && shown.offset > slots)
-        raise(acknowledgedAtLeast_, {shown.term, shown.offset - slots});
+    const auto unsure = static_cast<LogOffset>(beside);
+    if (shown.offset > unsure)
+        raise(acknowledgedAtLeast_, {shown.term, shown.offset - unsure});
 }
 
 // Here, or by what an earlier owner left in the row.
--- a/src/group/primarykeeper.h
+++ b/src/group/primarykeeper.h
@@ -80,8 +80,9 @@
     void onServersChanged();
     // Another run of the server has begun: nothing that it said before counts any more.
     void onRestarted(const ServerName &server);
-    // The primary acknowledged a commit and showed this position.
-    void onAcknowledged(Position shown);
+    // The primary acknowledged a commit and showed this position; above the commit there may be so
+    // many in its log that are not acknowledged and never will be.
+    void onAcknowledged(Position shown, int beside);
 
 private:
     // Of one question to a server, which takes some 4 ms; and how often one without an answer is
--- a/tests/host/candidate_test.cpp
+++ b/tests/host/candidate_test.cpp
@@ -506,3 +506,30 @@
     CHECK(world.group.promotions == 1);
     checkRight(world);
 }
+
+// A newcomer that no host has heard of yet has confirmed the last two commits, and no other replica
+// has them. All that are known have been heard; but their logs end below what was acknowledged, by
+// less than the primary runs at a time.
+TEST_CASE("Not even two acknowledged commits are given up for a newcomer that is not known yet")
+{
+    World world(116);
+    settle(world);
+    for (int i = 0; i < 400; ++i) {
+        world.write(std::size_t(i % 3));
+        world.run(10ms);
+    }
+    world.run(500ms);
+    const ServerName primary = world.group.primary();
+    for (auto &[id, server] : world.group.servers())
+        server.deaf = !server.primary;
+    world.group.add("cases-4");
+    for (int i = 0; i < 2; ++i)
+        REQUIRE(world.timeToWrite(0, 1s));
+    world.group.crash(primary);
+    writeUntilPromoted(world, 0, 3s);
+    CHECK(world.group.promotions == 0);
+    world.relist("cases-4");
+    writeUntilPromoted(world, 0, 3s);
+    CHECK(world.group.primary() == "cases-4");
+    checkRight(world);
+}
