An owner that regains a group it did not know to have lost serves it

Callers saw all statements of one group refused for as long as the host that the row names lived: after a planned stop whose hand-over named a host that had owned the group before and had not seen the claim between. Cause: applyRecord looked whether the row names this process only where it had not owned the group until then, so a row of a new epoch that names the owner itself ended its work and began nothing. Change: the loss of the old epoch and the gain of the new one are asked one after the other. Why it holds: every row of a new epoch that names this process now leads to acquire(), which begins the lease with the next read and waits for the ends of the owners that the row lists; nothing that guards a change of primary is passed.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -129,7 +129,10 @@
     if (owned) {
         parts_.log.warning("ownership_lost").with("group", group).with("epoch", before.epoch);
         events_.onLost(group);
-    } else if (record.owner == parts_.self) {
+    }
+    // Also right after the loss of an earlier epoch: the row of the owner between may never have
+    // been seen here, and while the row names this process nobody else claims the group.
+    if (record.owner == parts_.self) {
         // A hand-over, or a claim whose answer was lost: how old the news are is not known, so the
         // lease begins with the next read.
         entry.leaseUntil = Instant();
--- a/tests/host/recovery_test.cpp
+++ b/tests/host/recovery_test.cpp
@@ -32,3 +32,18 @@
 {
     checkRecovers(3065);
 }
+
+TEST_CASE("Schedule 10009 of changes of the servers")
+{
+    checkRecovers(10009);
+}
+
+TEST_CASE("Schedule 10249 of changes of the servers")
+{
+    checkRecovers(10249);
+}
+
+TEST_CASE("Schedule 10272 of changes of the servers")
+{
+    checkRecovers(10272);
+}
