A test of the regained group for the PostgreSQL groups: it fails

Cause: the fault of docs/incidents/regained-group.md looked for in decision/ownership, which decides the same for src/owner: a row of a later epoch that names the owner itself ends nothing and begins nothing. Conclusion: shown at the decision; the mend follows.

No functional change

--- a/tests/decision/ownership_test.cpp
+++ b/tests/decision/ownership_test.cpp
@@ -85,6 +85,24 @@
 
 } // namespace
 
+// An owner stood still, or was cut off from the table service. A successor claimed the group and
+// handed it back, and the row of the claim was never read here. The row of the hand-over names this
+// process, so it went on under the epoch that it had: its lease asked for promises under one epoch,
+// its failover ran under another. A server that the owner between had prepared shows a term of a
+// higher epoch, which means that this process is superseded, and no write is taken any more.
+TEST_CASE("An owner that gets its group back before it knows that it had lost it begins anew")
+{
+    OwnerFixture f;
+    f.answer(b1);
+    f.answer(c1);
+    const OwnershipActions actions = f.owner.onRow(f.now, rowOf(7, a1, {b1}));
+    REQUIRE(all<StopServing>(actions).size() == 1);
+    REQUIRE(need<StartServing>(actions).epoch == 7);
+    // Promises for the old epoch count no more.
+    REQUIRE_FALSE(f.owner.holdsLease(f.now));
+    REQUIRE(f.owner.role() == OwnershipRole::Owner);
+}
+
 TEST_CASE("The first wanted process creates the row and serves at once", "[ownership]")
 {
     Ownership process("offers", a1, 1);
