An owner of a PostgreSQL group whose row moved on in epoch begins anew

Callers would have seen all writes of the group refused for as long as the process that the row names lived. Cause: takeRow compared names only; a row of a later epoch that names the owner itself changed the epoch of the leases and left failover, fence and attempts at the old one, which a server prepared in between proves superseded. Change: such an owner stops and begins anew under the row's epoch. Why it holds: whatever depends on the epoch is made in StartServing, and a lease of the new epoch needs new promises.

--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -75,6 +75,7 @@
         return;
 
     // 2. A row that was taken away, or an answer older than what is known.
+    const OwnerEpoch served = epoch();
     rowAbsent_ = !row;
     if (!row) {
         row_.reset();
@@ -90,7 +91,11 @@
     const bool named = row_ && same(row_->row.owner, self_);
     if (owner_ && !named)
         stopServing("another owner is in the row", actions);
-    else if (!owner_ && named)
+    // Somebody owned it in between and gave it back, unseen here. Leases, terms and the fence of
+    // the old epoch count for nothing any more.
+    else if (owner_ && epoch() != served)
+        stopServing("it was lost and is back", actions);
+    if (!owner_ && named)
         becomeOwner(now, std::nullopt, actions);
 
     // 4. Whether to claim it.
