Sight: which servers an owner has not heard for two seconds

Cause: owner_majority_test fails at times without any line between the kills of two servers and its end; a log couldn't tell an owner that hears a majority from one that can't give its group away. Change: event=servers_silent when other servers are heard than before, and whether that counts as cut off.

No functional change

--- a/src/decision/failover.cpp
+++ b/src/decision/failover.cpp
@@ -392,15 +392,26 @@
     return state ? state->report : none;
 }
 
+bool Failover::isHeard(Instant now, const ServerState &server) const
+{
+    const std::optional<Instant> last = server.watch.lastHeard();
+    return last && now - *last < cutOffLimit;
+}
+
+std::vector<ServerName> Failover::silentServers(Instant now) const
+{
+    std::vector<ServerName> silent;
+    for (const ServerState &server : servers_)
+        if (!isHeard(now, server))
+            silent.push_back(server.name);
+    return silent;
+}
+
 bool Failover::isCutOff(Instant now) const
 {
     if (phase_ == Phase::Idle || now - watchedSince_ < cutOffLimit)
         return false;
-    const auto heard = std::count_if(servers_.begin(), servers_.end(), [&](const ServerState &s) {
-        const std::optional<Instant> last = s.watch.lastHeard();
-        return last && now - *last < cutOffLimit;
-    });
-    return static_cast<std::size_t>(heard) < majority();
+    return servers_.size() - silentServers(now).size() < majority();
 }
 
 Failover::ServerState *Failover::find(const ServerName &server)
--- a/src/decision/failover.h
+++ b/src/decision/failover.h
@@ -137,6 +137,8 @@
     // of a new term has not been read yet.
     bool isLost(Position position) const;
     const std::optional<ServerReport> &report(const ServerName &server) const;
+    // Servers that have not been heard for two seconds, or never.
+    std::vector<ServerName> silentServers(Instant now) const;
     // Whether too few servers for a majority have been heard for two seconds. Either they are gone
     // or this process is cut off from them, and another one may hear them.
     bool isCutOff(Instant now) const;
@@ -174,6 +176,7 @@
         Instant nextCommand;
     };
 
+    bool isHeard(Instant now, const ServerState &server) const;
     ServerState *find(const ServerName &server);
     const ServerState *find(const ServerName &server) const;
     std::size_t majority() const { return servers_.size() / 2 + 1; }
--- a/src/owner/groupruntime.cpp
+++ b/src/owner/groupruntime.cpp
@@ -79,6 +79,7 @@
     updateHeld();
     // 4. What goes on by itself.
     updateSuccessor();
+    noteSilentServers();
     considerCutOff();
     handOver_.step(now());
     if (begun_)
@@ -420,6 +421,24 @@
     ownership_.refresh();
 }
 
+// Without it a log can't tell an owner that hears a majority from one that can't give the group
+// away.
+void GroupRuntime::noteSilentServers()
+{
+    const decision::Failover *failover = failover_.decision();
+    if (!serving_ || !failover)
+        return;
+    std::vector<ServerName> silent = failover->silentServers(now());
+    if (silent == silentServers_)
+        return;
+    silentServers_ = std::move(silent);
+    std::string names;
+    for (const ServerName &name : silentServers_)
+        names += (names.empty() ? "" : ",") + name;
+    LOG(INFO) << "event=servers_silent group=" << name() << " silent=" << logValue(names)
+              << " cut_off=" << failover->isCutOff(now());
+}
+
 // If the servers are really gone, the next owner hears as little: the pause keeps the group from
 // going round.
 void GroupRuntime::considerCutOff()
--- a/src/owner/groupruntime.h
+++ b/src/owner/groupruntime.h
@@ -72,6 +72,8 @@
     void sampleWhenNeeded();
     void stopRunners(const Refusal &refusal);
     void startHandOver();
+    // A line when other servers are heard than before.
+    void noteSilentServers();
     // Gives the group to a successor when this process hears too few of the servers.
     void considerCutOff();
     void updateShare();
@@ -109,6 +111,8 @@
     Instant handOverAsked_;
     // A group that was given away for want of a majority is not given away again before this.
     Instant nextCutOff_;
+    // As of the last line that told them.
+    std::vector<ServerName> silentServers_;
     // As successor: when the owner was heard last, and since when without a break.
     Instant lastPromise_;
     Instant promisingSince_;
