A command that was not sent is no word of the server

Callers saw writes refused as no_primary, or unconfirmed, for as long as a majority of the servers was out of the owner's reach, though it should have given the group away after 2 s. Cause: the driver told the decision of a failed command by a truth value; a command without a connection came out as the server's refusal, which counts as hearing it. A server that is gone and to be told something was heard anew each 60 ms. Change: CommandFailure says refused, not sent or unknown; only a refusal is a word of the server. The models of the checker, the failover tests and the bench tell a refused connection as the driver does. Why it holds: nothing but an answer reaches heard() now; a candidate that can't be reached still begins a new promotion.

--- a/src/bench/groupownerfailover.cpp
+++ b/src/bench/groupownerfailover.cpp
@@ -44,8 +44,12 @@
 
 void GroupOwner::commandAnswered(const ServerName &server, const Reply &reply)
 {
-    const bool unknown = reply.kind == ReplyKind::Lost;
-    act(failover_.onCommandFailed(model_.timers.now(), server, unknown));
+    CommandFailure failure = CommandFailure::Refused;
+    if (reply.kind == ReplyKind::Refused)
+        failure = CommandFailure::NotSent;
+    else if (reply.kind == ReplyKind::Lost)
+        failure = CommandFailure::Unknown;
+    act(failover_.onCommandFailed(model_.timers.now(), server, failure));
 }
 
 void GroupOwner::perform(const SendPrepare &action)
--- a/src/decision/failover.h
+++ b/src/decision/failover.h
@@ -87,6 +87,16 @@
                                     SendReadHistory, PrimaryGone, PrimaryReady>;
 using FailoverActions = std::vector<FailoverAction>;
 
+// Why a command to a server was not carried out.
+enum class CommandFailure {
+    // The server answered that it will not.
+    Refused,
+    // Nothing was sent, as when there is no connection: no word of the server.
+    NotSent,
+    // Sent, and the answer was lost.
+    Unknown,
+};
+
 struct FailoverChecks
 {
     bool fence = true;
@@ -114,8 +124,7 @@
     FailoverActions onFenceRaised(Instant now, const ServerName &server, OwnerEpoch epoch);
     FailoverActions onHistory(Instant now, const ServerName &server,
                               const std::vector<TermStart> &history);
-    // A command was refused by the server (superseded) or its answer was lost.
-    FailoverActions onCommandFailed(Instant now, const ServerName &server, bool outcomeUnknown);
+    FailoverActions onCommandFailed(Instant now, const ServerName &server, CommandFailure failure);
     // A statement of ordinary traffic was answered, or its connection was lost.
     void onTraffic(Instant now, const ServerName &server);
     FailoverActions onConnectionLost(Instant now, const ServerName &server);
--- a/src/decision/promotion.cpp
+++ b/src/decision/promotion.cpp
@@ -177,21 +177,29 @@
 }
 
 FailoverActions Failover::onCommandFailed(Instant now, const ServerName &server,
-                                          bool outcomeUnknown)
+                                          CommandFailure failure)
 {
     FailoverActions actions;
     ServerState *state = find(server);
     if (!state)
         return actions;
     state->nextCommand = now + commandRetry;
-    if (outcomeUnknown)
+    if (failure == CommandFailure::Unknown)
         return actions;
-    // Refused: the server's report tells by whom it was superseded. A candidate that refuses is
-    // asked anew under a higher term.
-    heard(now, *state);
-    sendProbe(now, *state, actions);
+    // Only an answer means that the server was heard. Were a command without a connection one, a
+    // server that is gone and to be told something would be heard for ever, and an owner without a
+    // majority would neither replace nor give away anything.
+    if (failure == CommandFailure::Refused) {
+        // The server's report tells by whom it was superseded.
+        heard(now, *state);
+        sendProbe(now, *state, actions);
+    }
+    // A candidate that was not told is asked anew under a higher term, or another is chosen.
     if (phase_ == Phase::Promoting && server == leader_)
-        beginPromotion(now, "the candidate refused", actions);
+        beginPromotion(now,
+                       failure == CommandFailure::Refused ? "the candidate refused"
+                                                          : "the candidate can't be reached",
+                       actions);
     return actions;
 }
 
--- a/src/owner/failoverdriver.cpp
+++ b/src/owner/failoverdriver.cpp
@@ -16,6 +16,21 @@
 // trips of 1 and 3 ms.
 constexpr Duration samplePause = std::chrono::microseconds(500);
 
+decision::CommandFailure failureOf(CommandState state)
+{
+    switch (state) {
+    // An answer, though one that could not be understood.
+    case CommandState::Done:
+    case CommandState::Refused:
+        return decision::CommandFailure::Refused;
+    case CommandState::NotSent:
+        return decision::CommandFailure::NotSent;
+    case CommandState::Unknown:
+        return decision::CommandFailure::Unknown;
+    }
+    return decision::CommandFailure::Unknown;
+}
+
 } // namespace
 
 FailoverDriver::FailoverDriver(const settings::Group &group, OwnerPorts &ports,
@@ -191,8 +206,7 @@
             if (report)
                 carryOut(failover_->onPrepared(now(), action.server, action.term, *report));
             else
-                carryOut(failover_->onCommandFailed(now(), action.server,
-                                                    status.state == CommandState::Unknown));
+                carryOut(failover_->onCommandFailed(now(), action.server, failureOf(status.state)));
         });
     });
 }
@@ -229,7 +243,8 @@
                 if (const auto history = parseHistory(result.rows))
                     carryOut(failover_->onHistory(now(), action.server, *history));
                 else
-                    carryOut(failover_->onCommandFailed(now(), action.server, false));
+                    carryOut(
+                        failover_->onCommandFailed(now(), action.server, failureOf(result.state)));
             });
 }
 
@@ -287,8 +302,7 @@
             if (!result.connectionRefused)
                 LOG(WARNING) << "event=server_command_failed group=" << group_.name
                              << " server=" << server << " cause=" << logValue(result.message);
-            const bool unknown = result.state == CommandState::Unknown;
-            carryOut(failover_->onCommandFailed(now(), server, unknown));
+            carryOut(failover_->onCommandFailed(now(), server, failureOf(result.state)));
         });
 }
 
--- a/tests/decision/failover_test.cpp
+++ b/tests/decision/failover_test.cpp
@@ -65,12 +65,12 @@
     {
         if (!answers(name)) {
             if (dead.count(name))
-                carryOut(failover.onCommandFailed(now, name, true));
+                carryOut(failover.onCommandFailed(now, name, CommandFailure::NotSent));
             return false;
         }
         const bool done = work(server(name));
         if (!done)
-            carryOut(failover.onCommandFailed(now, name, false));
+            carryOut(failover.onCommandFailed(now, name, CommandFailure::Refused));
         return done && !loseAnswers.count(name);
     }
 
--- a/tests/decision/modelprocess.cpp
+++ b/tests/decision/modelprocess.cpp
@@ -155,21 +155,21 @@
                            std::function<void(const ModelServer &)> done)
 {
     const std::uint64_t service = service_;
-    const auto failed = [=](bool unknown) {
+    const auto failed = [=](CommandFailure failure) {
         if (service == service_)
-            carryOut(failover_->onCommandFailed(now(), name, unknown));
+            carryOut(failover_->onCommandFailed(now(), name, failure));
     };
     world_.atServer(
         self_, name,
         [=](ModelServer &server) -> std::function<void()> {
             if (!work(server))
-                return [=] { failed(false); };
+                return [=] { failed(CommandFailure::Refused); };
             return [=, after = server] {
                 if (service == service_)
                     done(after);
             };
         },
-        [=](bool) { failed(true); });
+        [=](bool refused) { failed(refused ? CommandFailure::NotSent : CommandFailure::Unknown); });
 }
 
 void ModelProcess::perform(const SendPrepare &action)
