--- a/tests/owner/ownercluster.cpp
+++ b/tests/owner/ownercluster.cpp
@@ -143,6 +143,16 @@
     return {};
 }
 
+std::string OwnerCluster::holder()
+{
+    for (const auto &[address, owner] : owners_) {
+        const auto answer = entry_->operate(address, {});
+        if (answer && !answer->groups.empty())
+            return address;
+    }
+    return {};
+}
+
 bool OwnerCluster::waitForSuccessors(std::size_t count)
 {
     const std::string owner = serving();
