The pause between two gifts of a group begins with the hand-over

Callers saw a group change owner every 2 s for as long as a majority of its servers was gone: connections closed and opened, the row written, owners to be looked for anew. Cause: the pause of 30 s was set by a look 20 ms later that found the hand-over running; without statements it is over 0.2 ms after the row was read. Change: decision/cutoff, pure, answers with its step; the pause begins where the hand-over does. Each step that is not taken, and a hand-over that waits for its row, names its condition in a line. Why it holds: giving away and beginning the pause are one branch now; nothing between them can end first.

--- a/src/decision/ownerduty.cpp
+++ b/src/decision/ownerduty.cpp
@@ -161,10 +161,31 @@
     return actions;
 }
 
-void Ownership::tryHandOver(Instant now, OwnershipActions &actions)
+const char *handOverWaitName(HandOverWait wait)
+{
+    switch (wait) {
+    case HandOverWait::None:
+        return "none";
+    case HandOverWait::ChangeUnderWay:
+        return "change_under_way";
+    case HandOverWait::NobodyFit:
+        return "nobody_fit";
+    }
+    return "none";
+}
+
+HandOverWait Ownership::handOverWait(Instant now) const
+{
+    const bool isWritten = change_ && change_->kind == ChangeKind::HandOver;
+    if (!handOverWanted_ || isWritten)
+        return HandOverWait::None;
+    if (change_ || now < nextChange_)
+        return HandOverWait::ChangeUnderWay;
+    return handOverCandidates(now).empty() ? HandOverWait::NobodyFit : HandOverWait::None;
+}
+
+std::vector<ProcessId> Ownership::handOverCandidates(Instant now) const
 {
-    if (!handOverWanted_ || change_ || now < nextChange_)
-        return;
     std::vector<ProcessId> alive;
     for (const ProcessId &listed : row_->row.successors) {
         if (!isSilent(now, listed) && isFit(listed))
@@ -175,8 +196,14 @@
             && !contains(row_->row.successors, process))
             alive.push_back(process);
     }
-    if (alive.empty())
+    return alive;
+}
+
+void Ownership::tryHandOver(Instant now, OwnershipActions &actions)
+{
+    if (!handOverWanted_ || change_ || handOverWait(now) != HandOverWait::None)
         return;
+    std::vector<ProcessId> alive = handOverCandidates(now);
     OwnershipRow row = row_->row;
     row.epoch += 1;
     row.owner = alive.front();
--- a/src/decision/ownership.h
+++ b/src/decision/ownership.h
@@ -107,6 +107,18 @@
     bool incarnation = true;
 };
 
+// What keeps an owner from writing the row of a hand-over.
+enum class HandOverWait {
+    None,
+    // Another write of the row is under way, or was a moment ago.
+    ChangeUnderWay,
+    // No process that could take the group is known to live.
+    NobodyFit,
+};
+
+// For logs.
+const char *handOverWaitName(HandOverWait wait);
+
 enum class OwnershipRole {
     // Not named in the row as far as known.
     Bystander,
@@ -153,6 +165,7 @@
     // Begins a planned hand-over to a successor. StopServing and SendHandOver follow once the row
     // says so; the caller stops giving out new work by its own means first.
     OwnershipActions beginHandOver(Instant now);
+    HandOverWait handOverWait(Instant now) const;
     // Reads the row, as when a caller expects another owner than the one it names.
     OwnershipActions refresh(Instant now);
     // As new owner, told by the old one.
@@ -224,6 +237,8 @@
     void dropStaleCandidates(Instant now);
     std::vector<ProcessId> readyCandidates(Instant now, const std::vector<ProcessId> &kept);
     void considerSuccessors(Instant now, OwnershipActions &actions);
+    // Who could take the group, best first.
+    std::vector<ProcessId> handOverCandidates(Instant now) const;
     void tryHandOver(Instant now, OwnershipActions &actions);
 
     GroupName group_;
--- a/src/owner/groupruntime.cpp
+++ b/src/owner/groupruntime.cpp
@@ -19,8 +19,6 @@
 constexpr Duration samplePeriod = std::chrono::milliseconds(40);
 constexpr Duration sampleAfterRequest = std::chrono::seconds(1);
 constexpr Duration metricsPeriod = std::chrono::milliseconds(500);
-// Between two times that a group is given away for want of a majority; chosen, not measured.
-constexpr Duration cutOffPause = std::chrono::seconds(30);
 constexpr Duration retryAfterRefusal = std::chrono::milliseconds(200);
 // A successor that has heard no heartbeat for this long closes its reserve; longer than a promise.
 constexpr Duration successorSilence = std::chrono::milliseconds(1700);
@@ -82,6 +80,7 @@
     noteSilentServers();
     considerCutOff();
     handOver_.step(now());
+    noteHandOverWait();
     if (begun_)
         purge_.tick();
     sampleWhenNeeded();
@@ -241,6 +240,7 @@
 void GroupRuntime::onRowChanged()
 {
     updateShare();
+    rowToldAt_ = now();
     if (ownership_.row())
         startHandOver();
 }
@@ -439,27 +439,54 @@
               << " cut_off=" << failover->isCutOff(now());
 }
 
-// If the servers are really gone, the next owner hears as little: the pause keeps the group from
-// going round.
 void GroupRuntime::considerCutOff()
 {
     const decision::Failover *failover = failover_.decision();
-    if (!serving_ || !failover || now() < nextCutOff_ || !failover->isCutOff(now()))
-        return;
-    beginHandOver();
-    if (!handOver_.running())
+    if (!serving_ || !failover)
         return;
-    nextCutOff_ = now() + cutOffPause;
-    LOG(WARNING) << "event=cut_off group=" << name()
-                 << " cause=\"no majority of the servers answers\"";
+    decision::CutOffView view;
+    view.isCutOff = failover->isCutOff(now());
+    view.handOverRuns = handOver_.running();
+    view.rowIsFresh = now() - rowToldAt_ < refreshPeriod;
+    view.successors = ownership_.row() ? ownership_.row()->row.successors.size() : 0;
+    const decision::CutOffStep step = cutOff_.next(now(), view);
+    if (step != cutOffStep_)
+        LOG(WARNING) << "event=cut_off step=" << decision::cutOffStepName(step)
+                     << " group=" << name() << " successors=" << view.successors
+                     << " row_age_ms=" << toMilliseconds(now() - rowToldAt_);
+    cutOffStep_ = step;
+    if (step == decision::CutOffStep::ReadRow && now() - rowAskedAt_ >= refreshPeriod) {
+        rowAskedAt_ = now();
+        ownership_.refresh();
+    }
+    if (step == decision::CutOffStep::GiveAway) {
+        cutOff_.onGivenAway(now());
+        LOG(INFO) << "event=hand_over_begins group=" << name();
+        handOver_.begin(now());
+    }
+}
+
+// Requests are held meanwhile, so a log has to tell what for.
+void GroupRuntime::noteHandOverWait()
+{
+    const decision::HandOverWait wait =
+        handOver_.givenAway() ? ownership_.handOverWait() : decision::HandOverWait::None;
+    if (wait != handOverWait_ && wait != decision::HandOverWait::None)
+        LOG(WARNING) << "event=hand_over_waits reason=" << decision::handOverWaitName(wait)
+                     << " group=" << name();
+    handOverWait_ = wait;
 }
 
 // Nothing is held before the store has just answered and there is somebody to take the group.
 void GroupRuntime::startHandOver()
 {
     const bool asked = now() - handOverAsked_ < refreshPeriod;
-    if (!serving_ || handOver_.running() || !asked || ownership_.row()->row.successors.empty())
+    if (!serving_ || handOver_.running() || !asked)
         return;
+    if (ownership_.row()->row.successors.empty()) {
+        LOG(WARNING) << "event=hand_over_waits reason=no_successor group=" << name();
+        return;
+    }
     LOG(INFO) << "event=hand_over_begins group=" << name();
     handOver_.begin(now());
 }
--- a/src/owner/groupruntime.h
+++ b/src/owner/groupruntime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/cutoff.h"
 #include "owner/confirmationwaits.h"
 #include "owner/groupcontext.h"
 #include "owner/handover.h"
@@ -72,6 +73,7 @@
     void sampleWhenNeeded();
     void stopRunners(const Refusal &refusal);
     void startHandOver();
+    void noteHandOverWait();
     // A line when other servers are heard than before.
     void noteSilentServers();
     // Gives the group to a successor when this process hears too few of the servers.
@@ -109,8 +111,13 @@
     Instant lastMetrics_;
     Instant lastRefresh_;
     Instant handOverAsked_;
-    // A group that was given away for want of a majority is not given away again before this.
-    Instant nextCutOff_;
+    decision::CutOff cutOff_;
+    // As of the last line that told it.
+    decision::CutOffStep cutOffStep_ = decision::CutOffStep::Serve;
+    decision::HandOverWait handOverWait_ = decision::HandOverWait::None;
+    Instant rowAskedAt_;
+    // The table service answered with the row, or with the outcome of a write of it.
+    Instant rowToldAt_;
     // As of the last line that told them.
     std::vector<ServerName> silentServers_;
     // As successor: when the owner was heard last, and since when without a break.
--- a/src/owner/ownershipdriver.h
+++ b/src/owner/ownershipdriver.h
@@ -39,6 +39,8 @@
     void setWanted(bool wanted);
     void setPrimary(Term term, const ServerName &primary);
     void beginHandOver();
+    // Why the row of a hand-over that was begun is not written yet.
+    decision::HandOverWait handOverWait() const { return ownership_.handOverWait(now()); }
     void onHandOver(OwnerEpoch newEpoch);
     void tick();
 
