--- a/tests/services/storegate_test.cpp
+++ b/tests/services/storegate_test.cpp
@@ -338,3 +338,25 @@
     const auto last = read();
     CHECK(*last == int(absl::StatusCode::kUnavailable));
 }
+
+// A read waits in the gate while the service turns this host away, and is sent from time to time.
+// The attempt that was under way when the read's time ran out was refused, and its caller was told
+// twice: once that the time is over, once of the refusal. Whoever reads again after a refusal then
+// had two readers in place of one, and so on: the reading back of a write whose outcome is unknown
+// is repeated up to 20 times, and one host made 18,000 such reads a second.
+//
+// From a day of 300 hosts and 150 groups whose store was asked for more than it allows: 4.29
+// million calls launched in 18 s, 4.24 million of them refused, a third of them by 12 hosts; reads
+// that callers asked for: 106,188.
+TEST_CASE_METHOD(Fixture, "A read that is refused after its time is told once")
+{
+    store.took = 150ms;
+    lose(FakeStore::Mode::Refuses);
+    std::vector<int> told(40, 0);
+    for (int &count : told) {
+        timers.advance(37ms);
+        gate.read("t", "k", [&count](const auto &) { ++count; });
+    }
+    timers.advance(10s);
+    CHECK(told == std::vector<int>(told.size(), 1));
+}
--- /dev/null
+++ b/tests/services/storelimit_test.cpp
@@ -0,0 +1,116 @@
+#include "core/manualtimerservice.h"
+#include "services/storegate.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace kelptally;
+using namespace kelptally::services;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A service that answers so many calls a second, from all hosts together, and refuses the rest.
+struct LimitedStore : public TableService, public TableFeed
+{
+    explicit LimitedStore(TimerService &timers) : timers(timers), filledAt(timers.now()) { }
+
+    bool take()
+    {
+        const Instant now = timers.now();
+        const double since = toMilliseconds(now - filledAt) / 1000;
+        tokens = std::min(double(limit) / 10, tokens + since * limit);
+        filledAt = now;
+        if (tokens < 1)
+            return false;
+        tokens -= 1;
+        return true;
+    }
+
+    void read(const std::string &, const std::string &key, RowCallback callback) override
+    {
+        const bool isTaken = take();
+        ++(isTaken ? answered : refused);
+        timers.subscribeAfter(took, [key, callback, isTaken] {
+            if (isTaken)
+                callback(TableRow {key, "v", "1"});
+            else
+                callback(absl::UnavailableError("429"));
+        });
+    }
+    void list(const std::string &, const std::string &, RowsCallback) override { }
+    void write(std::vector<ConditionalWrite>, WriteCallback) override { }
+    void snapshot(const std::string &, SnapshotCallback) override { }
+    void changes(const std::string &, std::uint64_t, Duration, ChangesCallback) override { }
+
+    TimerService &timers;
+    const int limit = 2000;
+    const Duration took {5ms};
+    double tokens = 0;
+    Instant filledAt;
+    int answered = 0;
+    int refused = 0;
+};
+
+// Hosts that each want some rows, and ask again after a pause where a read fails.
+struct Hosts
+{
+    Hosts(int count, int rows)
+    {
+        missing = count * rows;
+        for (int host = 0; host < count; ++host) {
+            gates.push_back(std::make_unique<StoreGate>(
+                StoreGate::Parts {timers, store, store, log, metrics, 2s,
+                                  [](const std::function<void(bool)> &callback) { callback(true); },
+                                  [] {}, [this] { return draw(random); }}));
+            for (int row = 0; row < rows; ++row)
+                want(*gates.back(), std::to_string(row));
+        }
+    }
+
+    void want(StoreGate &gate, const std::string &key)
+    {
+        gate.read("t", key, [this, &gate, key](const auto &row) {
+            if (row.ok())
+                --missing;
+            else
+                timers.subscribeAfter(250ms, [this, &gate, key] { want(gate, key); });
+        });
+    }
+
+    ManualTimerService timers;
+    std::mt19937_64 random {1};
+    std::uniform_real_distribution<double> draw {0, 1};
+    EventLog log {[] {
+        EventLogOptions options;
+        options.level = LogLevel::Error;
+        return options;
+    }()};
+    Metrics metrics;
+    LimitedStore store {timers};
+    std::vector<std::unique_ptr<StoreGate>> gates;
+    int missing = 0;
+};
+
+} // namespace
+
+// The load: 300 hosts begin at once before 150 groups, and each looks for the owners of the 50 that
+// are near. The service answers 2,000 calls a second and refuses the rest. A host that was refused
+// waits, tries one call, and with its answer sent all that waited; most of those were refused, and
+// it began again 100 ms later, for as long as anything waited.
+//
+// From such a day, 12 s of it: 334,547 calls, where 24,000 would have been answered; store_lost
+// reason=turned_away 4,649 times and store_back 4,418 times, claim_unread 6,523 times. Leases could
+// not be read (lease_unread 2,820 times), and owners gave their groups away.
+TEST_CASE("Hosts that the service's limit turns away share it without pressing")
+{
+    constexpr int hosts = 300;
+    constexpr int rows = 50;
+    Hosts all(hosts, rows);
+    const Duration least = 1s * (hosts * rows / all.store.limit);
+    all.timers.advance(2 * least);
+    // Half of what the service can do is used at least, and no more is refused than answered.
+    CHECK(all.missing == 0);
+    CHECK(all.store.refused <= all.store.answered);
+}
