A read that is refused after its time is told once

Callers saw nothing by itself; hosts that the store turns away made more and more reads. Cause: onResult put a refused call back to wait, wait() failed it as its time was over and told the caller, and onResult found it done and told the caller again. Change: whether the caller is told by the result is settled before the call is put back. Why it holds: a call is told where done is set, and each of these places sets it once.

--- a/src/services/storegate.cpp
+++ b/src/services/storegate.cpp
@@ -120,12 +120,15 @@
         parts_.timers.cancel(call->overdue);
         parts_.timers.cancel(call->expiry);
     }
+    // A call whose time is over is failed by wait(), which tells the caller: told once more, whoever
+    // reads again after a failure would have two readers in place of one, and then four.
+    const bool tellsCaller = call->done;
     if (!isAnswer(status)) {
         noteFailure(*call, status, took);
         if (!call->done && !call->waiting)
             wait(call);
     }
-    return call->done;
+    return tellsCaller;
 }
 
 // A refusal comes at once; what fails late was not answered, or no connection could be opened.
