Calls of a host that was turned away return as answers come, not all at once

Cause: with the first answer after a refusal a host sent everything that waited; before a limit most of it was refused, and each further answer, also to calls sent before the refusal, sent everything once more. Change: after a refusal, and at a process's start, few calls may be open, one more with each answer; what was sent before a refusal is no news of the limit; attempts stay rare where a host is refused again within 2 s. Why it holds: no answer launches more than two calls now, and a refusal takes the number back to one.

--- a/src/decision/storehealth.cpp
+++ b/src/decision/storehealth.cpp
@@ -1,6 +1,7 @@
 #include "decision/storehealth.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace kelptally::decision {
 
@@ -26,6 +27,11 @@
 constexpr Duration shortestAttempt = std::chrono::milliseconds(100);
 constexpr Duration longestAttempt = std::chrono::milliseconds(800);
 constexpr int mostDoublings = 3;
+// Hosts that are refused again so soon share a limit: their attempts go on becoming rare, though
+// some calls are answered in between.
+constexpr Duration calmPeriod = std::chrono::seconds(2);
+// With so many answered in a row no limit is in sight.
+constexpr std::size_t fullyOpen = 64;
 // Attempts are spread over this part of their pause, around it.
 constexpr double spread = 0.5;
 
@@ -51,13 +57,14 @@
     if (state_ == StoreState::Answering)
         since_ = now;
     state_ = state;
-    refusals_ = 0;
     return true;
 }
 
 bool StoreHealth::onAnswer(Duration took)
 {
     slowest_ = std::max(took, slowest_ - slowest_ / slowestFalls);
+    if (mostOpen_ && ++*mostOpen_ >= fullyOpen)
+        mostOpen_.reset();
     return enter(StoreState::Answering, since_);
 }
 
@@ -69,6 +76,10 @@
 bool StoreHealth::onRefusal(Instant now)
 {
     const bool changed = enter(StoreState::TurnedAway, now);
+    if (changed && refusedAt_ && now - *refusedAt_ >= calmPeriod)
+        refusals_ = 0;
+    refusedAt_ = now;
+    mostOpen_ = 1;
     refusals_ = std::min(refusals_ + 1, mostDoublings + 1);
     return changed;
 }
@@ -83,6 +94,11 @@
     return std::clamp((now - since_) / trialPart, leastTrial, leastPatience);
 }
 
+std::size_t StoreHealth::mostOpen() const
+{
+    return mostOpen_.value_or(std::numeric_limits<std::size_t>::max());
+}
+
 Duration StoreHealth::attemptPause(Instant now, double draw) const
 {
     Duration pause = std::clamp((now - since_) / probePart, shortestProbe, longestProbe);
--- a/src/decision/storehealth.h
+++ b/src/decision/storehealth.h
@@ -2,6 +2,9 @@
 
 #include "core/clock.h"
 
+#include <cstddef>
+#include <optional>
+
 namespace kelptally::decision {
 
 enum class StoreState {
@@ -38,11 +41,20 @@
     // and never answer those, so each has to be followed by another; late answers count all the
     // same.
     Duration trialPatience(Instant now) const;
+    // Calls that may be open at once, held ones aside. Few at the start and after the service has
+    // turned this host away, and with each answer one more, which doubles them in each round trip.
+    //
+    // The load it answers: 300 hosts asked at once for more than the service allows. Each sent all
+    // that waited with the first answer, and most of it was refused: 28,000 calls a second where
+    // 2,000 are allowed, for as long as anything waited.
+    std::size_t mostOpen() const;
     // From one attempt to reach the service to the next while it does not answer. The draw, from 0
     // to 1, spreads the attempts of many hosts.
     Duration attemptPause(Instant now, double draw) const;
 
 private:
+    static constexpr std::size_t firstOpen = 4;
+
     bool enter(StoreState state, Instant now);
 
     StoreState state_ = StoreState::Answering;
@@ -50,6 +62,9 @@
     // Falls slowly towards the answers of now.
     Duration slowest_ {0};
     int refusals_ = 0;
+    std::optional<Instant> refusedAt_;
+    // Nothing: all that wait. A process that has just begun knows nothing of the limit.
+    std::optional<std::size_t> mostOpen_ = firstOpen;
 };
 
 } // namespace kelptally::decision
--- a/src/services/storegate.cpp
+++ b/src/services/storegate.cpp
@@ -57,17 +57,35 @@
 {
     const bool silent = health_.state() == decision::StoreState::Silent;
     // A write that is refused at once tells its caller so: another host may do what this one can't.
-    if (answers() || (!call->repeats && !silent))
+    const bool isFirst = waiting_.empty() || call->wantedHold > Duration(0);
+    if ((answers() && isFirst && mayLaunch(*call)) || (!call->repeats && (answers() || !silent)))
         return launch(call, call->wantedHold);
     wait(call);
 }
 
+// A question for changes stays open for as long as nothing happens.
+bool StoreGate::mayLaunch(const Call &call) const
+{
+    return call.wantedHold > Duration(0) || open_ < health_.mostOpen();
+}
+
+void StoreGate::uncount(Call &call)
+{
+    if (call.counted)
+        --open_;
+    call.counted = false;
+}
+
 void StoreGate::launch(const CallPtr &call, Duration hold)
 {
     call->waiting = false;
     call->hold = hold;
     call->sentAt = parts_.timers.now();
     ++call->sendings;
+    uncount(*call);
+    call->counted = hold == Duration(0);
+    if (call->counted)
+        ++open_;
     parts_.timers.cancel(call->expiry);
     parts_.timers.cancel(call->overdue);
     const Duration patience =
@@ -82,6 +100,7 @@
 void StoreGate::wait(const CallPtr &call)
 {
     parts_.timers.cancel(call->overdue);
+    uncount(*call);
     const bool full = waiting_.size() >= maxWaiting;
     if (full || parts_.timers.now() >= call->until) {
         call->done = true;
@@ -106,7 +125,12 @@
 {
     // An earlier sending may be answered while the call waits or is sent again.
     const Duration took = std::max(Duration(0), parts_.timers.now() - call->sentAt - call->hold);
-    if (isAnswer(status))
+    if (sending == call->sendings)
+        uncount(*call);
+    // What was sent before a refusal tells nothing of the limit that was met since.
+    const bool isNews =
+        health_.state() != decision::StoreState::TurnedAway || call->sentAt >= refusedAt_;
+    if (isAnswer(status) && isNews)
         onAnswered(took);
     // That an earlier one is given up tells nothing: a call that had hung since the silence would
     // make the service count as lost again a moment after its return.
@@ -120,8 +144,8 @@
         parts_.timers.cancel(call->overdue);
         parts_.timers.cancel(call->expiry);
     }
-    // A call whose time is over is failed by wait(), which tells the caller: told once more, whoever
-    // reads again after a failure would have two readers in place of one, and then four.
+    // A call whose time is over is failed by wait(), which tells the caller: told once more,
+    // whoever reads again after a failure would have two readers in place of one, and then four.
     const bool tellsCaller = call->done;
     if (!isAnswer(status)) {
         noteFailure(*call, status, took);
@@ -138,6 +162,8 @@
         return;
     const Instant now = parts_.timers.now();
     const bool silent = absl::IsDeadlineExceeded(status) || took >= health_.patience() / 2;
+    if (!silent)
+        refusedAt_ = now;
     onLost(call, silent ? health_.onSilence(now) : health_.onRefusal(now));
 }
 
@@ -181,8 +207,19 @@
 void StoreGate::onAnswered(Duration took)
 {
     const Instant lost = health_.since();
-    if (!health_.onAnswer(took))
+    if (!health_.onAnswer(took)) {
+        // Not from within an answer: whoever gets it comes first.
+        if (!waiting_.empty() && !launchPlanned_) {
+            launchPlanned_ = true;
+            parts_.timers.subscribeAt(parts_.timers.now(), [this, alive = alive_] {
+                if (!*alive)
+                    return;
+                launchPlanned_ = false;
+                launchWaiting();
+            });
+        }
         return;
+    }
     const Duration lostFor = parts_.timers.now() - lost;
     // What is asked from now on is answered.
     if (lostFor >= longLoss)
@@ -201,13 +238,25 @@
 
 void StoreGate::wake(Duration lostFor)
 {
+    launchWaiting();
+    for (const auto &callback : whenBack_)
+        callback(lostFor);
+}
+
+void StoreGate::launchWaiting()
+{
+    if (!answers())
+        return;
     std::deque<CallPtr> calls;
     calls.swap(waiting_);
-    for (const CallPtr &call : calls)
-        if (!call->done)
+    for (const CallPtr &call : calls) {
+        if (call->done)
+            continue;
+        if (mayLaunch(*call))
             launch(call, call->wantedHold);
-    for (const auto &callback : whenBack_)
-        callback(lostFor);
+        else
+            waiting_.push_back(call);
+    }
 }
 
 void StoreGate::scheduleAttempt()
--- a/src/services/storegate.h
+++ b/src/services/storegate.h
@@ -16,7 +16,8 @@
 // The table service as one process sees it: all calls go through here, and what one of them learns
 // counts for all. While the service is lost, reads and questions for changes wait here instead of
 // being sent; one attempt at a time looks for its return, and with the first answer everything that
-// waits is sent at once on new connections.
+// waits is sent at once on new connections, or, where the service had refused, as fast as answers
+// come.
 //
 // Writes are never sent twice. One that is open when the service comes back ends with an outcome
 // that is not known, and its caller settles it by reading back.
@@ -75,6 +76,8 @@
         bool repeats = true;
         bool done = false;
         bool waiting = false;
+        // Among those that are open.
+        bool counted = false;
         Instant sentAt {};
         // Counts the times that it was sent.
         int sendings = 0;
@@ -101,12 +104,22 @@
     void attempt();
     void tryOne();
     void wake(Duration lostFor);
+    bool mayLaunch(const Call &call) const;
+    // Of those that wait, as many as may be open.
+    void launchWaiting();
+    // The call's sending is over.
+    void uncount(Call &call);
 
     const Parts parts_;
     decision::StoreHealth health_;
     std::deque<CallPtr> waiting_;
+    // Calls that are sent and not answered, questions for changes aside.
+    std::size_t open_ = 0;
+    // When the service refused a call last.
+    Instant refusedAt_ {};
     std::vector<std::function<void(Duration)>> whenBack_;
     bool attemptPlanned_ = false;
+    bool launchPlanned_ = false;
     // The call that looks for the service's return; it may long be over.
     CallPtr trial_;
     // In this loss the calls that were open have been given up.
