--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -3,6 +3,7 @@
 #include "session/statementrules.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kelptally::group {
 
@@ -368,8 +369,13 @@
     const Instant now = parts_.timers.now();
     for (const GroupName &group : ownership_.owned()) {
         Held &mine = held(group);
-        if (mine.handingOver || peers.empty())
+        if (mine.handingOver)
             continue;
+        if (peers.empty()) {
+            if (!std::exchange(mine.toldNoPeer, true))
+                parts_.log.warning("hand_over_waits", "no_peer").with("group", group);
+            continue;
+        }
         if (mine.offeredAt == Instant()) {
             mine.offeredAt = now;
             ownership_.askTakeOver(group, std::string(), "stopping");
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -89,6 +89,8 @@
         // When it was offered to others, before a stop.
         Instant offeredAt {};
         bool handingOver = false;
+        // That it has nobody to go to has been logged.
+        bool toldNoPeer = false;
     };
 
     // What an entry has been answered, or will be, so that a statement which it sends again on
