A broken connection is no limit: only refusals make a host ask rarely

Change: StoreHealth::onBroken keeps what was there before; where a host is turned away and nothing waits, the next call goes out at once, one at a time.

--- a/src/decision/storehealth.cpp
+++ b/src/decision/storehealth.cpp
@@ -94,6 +94,15 @@
     return std::clamp((now - since_) / trialPart, leastTrial, leastPatience);
 }
 
+bool StoreHealth::onBroken(Instant now)
+{
+    const bool changed = enter(StoreState::TurnedAway, now);
+    if (changed)
+        refusals_ = 0;
+    refusals_ = std::min(refusals_ + 1, mostDoublings + 1);
+    return changed;
+}
+
 std::size_t StoreHealth::mostOpen() const
 {
     return mostOpen_.value_or(std::numeric_limits<std::size_t>::max());
--- a/src/decision/storehealth.h
+++ b/src/decision/storehealth.h
@@ -30,6 +30,8 @@
     bool onAnswer(Duration took);
     bool onSilence(Instant now);
     bool onRefusal(Instant now);
+    // A connection ended without the answer: the service may be as able as before.
+    bool onBroken(Instant now);
     StoreState state() const { return state_; }
     // When the service was lost; meaningless while it answers.
     Instant since() const { return since_; }
--- a/src/services/storegate.cpp
+++ b/src/services/storegate.cpp
@@ -162,9 +162,12 @@
         return;
     const Instant now = parts_.timers.now();
     const bool silent = absl::IsDeadlineExceeded(status) || took >= health_.patience() / 2;
-    if (!silent)
-        refusedAt_ = now;
-    onLost(call, silent ? health_.onSilence(now) : health_.onRefusal(now));
+    if (silent)
+        return onLost(call, health_.onSilence(now));
+    if (!absl::IsUnavailable(status))
+        return onLost(call, health_.onBroken(now));
+    refusedAt_ = now;
+    onLost(call, health_.onRefusal(now));
 }
 
 // Their callers are not told of reads: those wait, and are sent again.
@@ -302,12 +305,11 @@
         return;
     const auto found = std::find_if(waiting_.begin(), waiting_.end(),
                                     [](const CallPtr &call) { return call->repeats; });
-    // The way to a silent service is open: the writes that wait find out more.
-    if (found == waiting_.end()) {
-        if (health_.state() == decision::StoreState::Silent)
-            onAnswered(Duration(0));
-        return;
-    }
+    // Nothing waits that could be sent twice. Whatever is asked next finds out more, and goes out
+    // at once: the writes that a silent service keeps waiting, or the first read of a host that was
+    // turned away, one at a time.
+    if (found == waiting_.end())
+        return onAnswered(Duration(0));
     trial_ = *found;
     waiting_.erase(found);
     launch(trial_, Duration(0));
--- a/tests/decision/storehealth_test.cpp
+++ b/tests/decision/storehealth_test.cpp
@@ -70,3 +70,39 @@
     health.onRefusal(start + 20s);
     CHECK(health.attemptPause(start + 20s, 0.5) == 100ms);
 }
+
+TEST_CASE("After a refusal calls return as answers come, and after a broken connection all at once")
+{
+    StoreHealth health;
+    const Instant start {};
+    for (int i = 0; i < 100; ++i)
+        health.onAnswer(4ms);
+    const std::size_t all = health.mostOpen();
+    health.onBroken(start);
+    health.onAnswer(4ms);
+    CHECK(health.mostOpen() == all);
+    health.onRefusal(start + 1s);
+    CHECK(health.mostOpen() == 1);
+    health.onAnswer(4ms);
+    health.onAnswer(4ms);
+    CHECK(health.mostOpen() == 3);
+    for (int i = 0; i < 100; ++i)
+        health.onAnswer(4ms);
+    CHECK(health.mostOpen() == all);
+}
+
+TEST_CASE("Attempts of a host that is refused again and again stay rare, though some are answered")
+{
+    StoreHealth health;
+    const Instant start {};
+    for (int i = 0; i < 4; ++i) {
+        health.onRefusal(start + i * 500ms);
+        health.onAnswer(4ms);
+    }
+    health.onRefusal(start + 2s);
+    CHECK(health.attemptPause(start + 2s, 0.5) == 800ms);
+    health.onAnswer(4ms);
+    // Lost answers are no limit: their next attempt is soon.
+    health.onBroken(start + 3s);
+    CHECK(health.attemptPause(start + 3s, 0.5) == 100ms);
+}
