A write that hangs holds up no read of a host that was turned away

Callers would have waited up to 2 s for what needs a read of the store, where a write hung right after a refusal. Change: only reads are counted.

--- a/src/services/storegate.cpp
+++ b/src/services/storegate.cpp
@@ -63,7 +63,7 @@
     wait(call);
 }
 
-// A question for changes stays open for as long as nothing happens.
+// A question for changes stays open for as long as nothing happens, and so is not counted.
 bool StoreGate::mayLaunch(const Call &call) const
 {
     return call.wantedHold > Duration(0) || open_ < health_.mostOpen();
@@ -83,7 +83,8 @@
     call->sentAt = parts_.timers.now();
     ++call->sendings;
     uncount(*call);
-    call->counted = hold == Duration(0);
+    // A write goes out in any case, and one that hangs must not hold up reads.
+    call->counted = hold == Duration(0) && call->repeats;
     if (call->counted)
         ++open_;
     parts_.timers.cancel(call->expiry);
--- a/src/services/storegate.h
+++ b/src/services/storegate.h
@@ -113,7 +113,7 @@
     const Parts parts_;
     decision::StoreHealth health_;
     std::deque<CallPtr> waiting_;
-    // Calls that are sent and not answered, questions for changes aside.
+    // Reads that are sent and not answered, questions for changes aside.
     std::size_t open_ = 0;
     // When the service refused a call last.
     Instant refusedAt_ {};
