--- a/src/decision/failover.cpp
+++ b/src/decision/failover.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// All chosen, but for what docs/design/failover.md measures of them.
-
 constexpr Duration probeInterval = milliseconds(100);
 // After a lost connection a probe goes at once, but no more often than this.
 constexpr Duration lostProbePause = milliseconds(20);
@@ -21,7 +19,7 @@
 // Ticks further apart than this mean that this process was paused.
 constexpr Duration pauseLimit = milliseconds(150);
 // Without a majority for this long the group is better off with another owner; longer than the
-// slowest detection and promotion that was measured (640 ms).
+// slowest detection and promotion.
 constexpr Duration cutOffLimit = std::chrono::seconds(2);
 
 } // namespace
--- a/src/decision/ownerduty.cpp
+++ b/src/decision/ownerduty.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// All chosen, not measured, but for what docs/design/ownership.md says of them.
-
 // A successor is given up when a request stays unanswered for this long: two heartbeats, which
 // leaves 700 ms of the lease for the write that drops it.
 constexpr Duration silentAfter = milliseconds(450);
--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// All chosen, not measured, but for what docs/design/ownership.md says of them.
-
 // Pause after a read or write of the row that failed.
 constexpr Duration storeRetry = milliseconds(250);
 // A process that should own the group but does not looks at the row this often.
--- a/src/decision/promotion.cpp
+++ b/src/decision/promotion.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// All chosen, not measured.
-
 // A command without an answer is sent again, at once after a failure.
 constexpr Duration commandTimeout = milliseconds(250);
 constexpr Duration commandRetry = milliseconds(40);
--- a/src/services/storegate.cpp
+++ b/src/services/storegate.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-// Chosen, not measured: a process has a handful of readers, and a read for each group that it looks
-// for an owner of.
+// A process has a handful of readers, and a read for each group that it looks for an owner of.
 constexpr std::size_t maxWaiting = 1024;
 // After a loss this long, questions that are still open were asked before it, and are asked again.
 constexpr Duration longLoss = std::chrono::seconds(1);
