--- a/src/decision/storehealth.h
+++ b/src/decision/storehealth.h
@@ -46,8 +46,8 @@
     // Calls that may be open at once, held ones aside. Few at the start and after the service has
     // turned this host away, and with each answer one more, which doubles them in each round trip.
     //
-    // The load it answers: hundreds of hosts ask at once for more than the service allows. Each sent
-    // all that waited with the first answer, and most of it was refused again, for as long as
+    // The load it answers: hundreds of hosts ask at once for more than the service allows. Each
+    // sent all that waited with the first answer, and most of it was refused again, for as long as
     // anything waited.
     std::size_t mostOpen() const;
     // From one attempt to reach the service to the next while it does not answer. The draw, from 0
