A schedule that is served again late, listed

Cause: looking at the slowest recoveries of the membership soak: 20142 takes 15.2 s, where 12 s are the users' outer bound. Change: its case in recovery_test, a ctest of its own, and its entry. Conclusion: open; a trial shows that the owner has no link with the one before it.

No functional change

--- a/tests/host/recovery_test.cpp
+++ b/tests/host/recovery_test.cpp
@@ -47,3 +47,16 @@
 {
     checkRecovers(10272);
 }
+
+// The owner that claims last asks the one before it for its end each 200 ms and has no link with it
+// for 15 s, though both processes live and links between them come up; then the lease has run out.
+// Whether the host or the model of its links is at fault is not known.
+TEST_CASE("Schedule 20142 of changes of the servers")
+{
+    // The users' outer bound for service after the last fault.
+    constexpr Duration bound = std::chrono::seconds(12);
+    const model::SoakResult result = model::soak(20142, model::SoakKind::Membership);
+    CHECK(result.violations.size() == 0);
+    CHECK(result.recovered);
+    CHECK(result.recovery <= bound);
+}
