--- a/tests/owner/ownercluster.h
+++ b/tests/owner/ownercluster.h
@@ -31,7 +31,8 @@
     // Address of the owner that serves the group now; waits until there is one.
     std::string serving();
 
-    // Address of the owner that has the group now, whether it can serve or not; empty when none has.
+    // Address of the owner that has the group now, whether it can serve or not; empty when none
+    // has.
     std::string holder();
 
     // Waits until the owner has listed so many successors; false when it does not.
