--- a/tests/owner/freeport.h
+++ b/tests/owner/freeport.h
@@ -3,16 +3,23 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <set>
+
 namespace kelptally::owner {
 
-// A port that nothing listened on a moment ago.
+// A port that nothing listened on a moment ago; another one each time. A port that was drawn is
+// free until its user listens there, so the system may well draw it again.
 inline int takeFreePort()
 {
     using boost::asio::ip::tcp;
     static boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    const int port = acceptor.local_endpoint().port();
-    acceptor.close();
+    static std::set<int> drawn;
+    int port = 0;
+    do {
+        tcp::acceptor acceptor(context,
+                               tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        port = acceptor.local_endpoint().port();
+    } while (!drawn.insert(port).second);
     return port;
 }
 
