--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -54,6 +54,11 @@
         .Add(labels, bounds);
 }
 
+prometheus::Counter &Metrics::visits(const std::string &part)
+{
+    return counter("kelptally_visits_total", "Entries of tables walked over", {{"part", part}});
+}
+
 void Metrics::countRefusal(Reason reason)
 {
     if (reason != Reason::None)
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -39,6 +39,10 @@
     void countRefusal(Reason reason);
     void countRetry(Reason reason);
 
+    // kelptally_visits_total{part=}: entries that a part has walked over, so that work which grows
+    // with the number of hosts, servers or groups shows.
+    prometheus::Counter &visits(const std::string &part);
+
     // Prometheus' text format.
     std::string toText() const;
 
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -2,6 +2,8 @@
 
 #include "decision/claimorder.h"
 
+#include <prometheus/counter.h>
+
 #include <algorithm>
 #include <functional>
 
@@ -30,7 +32,7 @@
 } // namespace
 
 OwnershipTable::OwnershipTable(const Parts &parts, OwnershipEvents &events)
-    : parts_(parts), events_(events),
+    : parts_(parts), visits_(parts.metrics.visits("owners")), events_(events),
       follower_({parts.timers, parts.feed, parts.log}, table, feedWait,
                 {[this](const services::TableRow &row) { apply(row); }, [](const std::string &) {},
                  [this] { onRead(); }})
@@ -170,6 +172,7 @@
 std::vector<GroupName> OwnershipTable::owned() const
 {
     std::vector<GroupName> groups;
+    visits_.Increment(double(entries_.size()));
     for (const auto &[group, entry] : entries_)
         if (owns(group))
             groups.push_back(group);
@@ -179,6 +182,7 @@
 std::vector<decision::Teller> OwnershipTable::owners() const
 {
     std::map<std::string, ZoneName> zones;
+    visits_.Increment(double(entries_.size()));
     for (const auto &[group, entry] : entries_)
         if (entry.known && !entry.record.owner.address.empty())
             zones[entry.record.owner.address] = entry.record.zone;
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/eventlog.h"
+#include "core/metrics.h"
 #include "core/timerservice.h"
 #include "decision/tellers.h"
 #include "group/ownershiprecord.h"
@@ -46,6 +47,7 @@
         services::TableFeed &feed;
         inner::PeerLinks &links;
         EventLog &log;
+        Metrics &metrics;
         ProcessId self;
         ZoneName zone;
         // Processor cores that this host may use.
@@ -202,6 +204,7 @@
                         const std::string &proof);
 
     const Parts parts_;
+    prometheus::Counter &visits_;
     OwnershipEvents &events_;
     std::map<GroupName, Entry> entries_;
     std::set<GroupName> wanted_;
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -2,6 +2,8 @@
 
 #include "decision/claimorder.h"
 
+#include <prometheus/counter.h>
+
 #include <functional>
 
 // How ownership lasts and ends: leases, the proof that owners before have ended, and giving a group
@@ -141,6 +143,7 @@
     asking_ = false;
     const Instant now = parts_.timers.now();
     std::set<std::string> asked;
+    visits_.Increment(double(entries_.size()));
     for (auto &[group, entry] : entries_) {
         if (!owns(group))
             continue;
@@ -210,6 +213,7 @@
 
 void OwnershipTable::onPeerUp(const ProcessId &process)
 {
+    visits_.Increment(double(entries_.size()));
     for (auto &[group, entry] : entries_) {
         if (!entry.known)
             continue;
--- a/src/group/serverlist.cpp
+++ b/src/group/serverlist.cpp
@@ -1,5 +1,7 @@
 #include "group/serverlist.h"
 
+#include <prometheus/counter.h>
+
 #include <algorithm>
 
 namespace kelptally::group {
@@ -22,8 +24,8 @@
     return start ? std::to_string(start->time_since_epoch().count()) : std::string("-");
 }
 
-ServerList::ServerList(TimerService &timers, EventLog &log, Changed changed)
-    : timers_(timers), log_(log), changed_(std::move(changed))
+ServerList::ServerList(TimerService &timers, EventLog &log, Metrics &metrics, Changed changed)
+    : timers_(timers), log_(log), visits_(metrics.visits("servers")), changed_(std::move(changed))
 { }
 
 bool ServerList::isOldNews(const Entry &entry, const ListedServer &server) const
@@ -136,6 +138,7 @@
 void ServerList::tell(const GroupName &group)
 {
     std::vector<ListedServer> servers;
+    visits_.Increment(double(servers_.size()));
     for (const auto &[id, entry] : servers_)
         if (entry.server.group == group)
             servers.push_back(entry.server);
--- a/src/group/serverlist.h
+++ b/src/group/serverlist.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/eventlog.h"
+#include "core/metrics.h"
 #include "core/timerservice.h"
 #include "group/serverport.h"
 
@@ -24,7 +25,7 @@
     using Changed =
         std::function<void(const GroupName &group, const std::vector<ListedServer> &servers)>;
 
-    ServerList(TimerService &timers, EventLog &log, Changed changed);
+    ServerList(TimerService &timers, EventLog &log, Metrics &metrics, Changed changed);
 
     void onListed(const ListedServer &server);
     void onMissing(const ServerName &server);
@@ -53,6 +54,7 @@
 
     TimerService &timers_;
     EventLog &log_;
+    prometheus::Counter &visits_;
     const Changed changed_;
     std::map<ServerName, Entry> servers_;
 };
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -37,7 +37,9 @@
       news_({ports.timers, store_, newsLinks_, ports.log, ports.metrics, self_.address,
              settings.zone, group::OwnershipTable::table, decision::hasRoom(settings.processors, 0),
              [this] { return draw(); }}),
-      serverList_(ports.timers, ports.log,
+      wantedVisits_(ports.metrics.visits("wanted_groups")),
+      retoldVisits_(ports.metrics.visits("retold_groups")),
+      serverList_(ports.timers, ports.log, ports.metrics,
                   [this](const GroupName &group, const std::vector<group::ListedServer> &servers) {
                       onServers(group, servers);
                   }),
@@ -137,8 +139,10 @@
         .with("routes", std::uint64_t(catalogue_.get()->routes.size()))
         .with("keys", std::uint64_t(catalogue_.get()->keys.size()));
     groups_->setCatalogue(*catalogue_.get());
-    for (const auto &[group, options] : catalogue_.get()->groups)
+    for (const auto &[group, options] : catalogue_.get()->groups) {
+        retoldVisits_.Increment();
         serverList_.retell(group);
+    }
     wantGroups();
 }
 
@@ -180,6 +184,7 @@
     if (catalogue_.get() == nullptr || draining_)
         return;
     for (const auto &[group, options] : catalogue_.get()->groups) {
+        wantedVisits_.Increment();
         const auto zone = primaryZones_.find(group);
         if (zone != primaryZones_.end() && zone->second == settings_.zone)
             groups_->ownership().wantOwner(group);
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -178,6 +178,8 @@
     bool candidatesChanged_ = false;
     std::unique_ptr<inner::PeerLinks> links_;
     session::CurrentCatalogue catalogue_;
+    prometheus::Counter &wantedVisits_;
+    prometheus::Counter &retoldVisits_;
     group::ServerList serverList_;
     std::unique_ptr<group::GroupHost> groups_;
     group::NearReads near_;
--- a/tests/group/serverlist_test.cpp
+++ b/tests/group/serverlist_test.cpp
@@ -20,7 +20,8 @@
     }()};
     std::vector<ListedServer> servers;
     int changes = 0;
-    ServerList list {timers, log, [this](const GroupName &, const std::vector<ListedServer> &all) {
+    Metrics metrics;
+    ServerList list {timers, log, metrics, [this](const GroupName &, const std::vector<ListedServer> &all) {
                          servers = all;
                          ++changes;
                      }};
--- /dev/null
+++ b/tests/host/fleetwork_test.cpp
@@ -0,0 +1,268 @@
+#include "core/manualtimerservice.h"
+#include "host/hostprocess.h"
+
+#include <catch2/catch.hpp>
+#include <prometheus/counter.h>
+
+// What one host does for one event must not grow with the deployment. A host with 3,000 servers and
+// 1,000 groups before it walked over all groups for each server that it read, and over all that it
+// owned for each of these: nine tenths of its processor time at a start, and it served nobody for
+// as long. The entries that are walked over are counted, so that the verdict is the same
+// everywhere.
+
+using namespace kelptally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char zoneHere[] = "zone-0";
+constexpr int zones = 3;
+
+// The rows of a deployment with so many groups. Each has a primary and two replicas in three zones,
+// and an owner on another host.
+struct Rows : public services::TableService, public services::TableFeed
+{
+    explicit Rows(ManualTimerService &theTimers) : timers(theTimers) { }
+
+    void read(const std::string &, const std::string &key, services::RowCallback callback) override
+    {
+        ++reads;
+        timers.subscribeAfter(4ms, [this, key, callback = std::move(callback)] {
+            const auto row = owners.find(key);
+            callback(row == owners.end() ? std::nullopt : std::optional(row->second));
+        });
+    }
+    void list(const std::string &, const std::string &, services::RowsCallback) override { }
+    void write(std::vector<services::ConditionalWrite>, services::WriteCallback) override
+    {
+        ++writes;
+    }
+    void snapshot(const std::string &, services::SnapshotCallback callback) override
+    {
+        timers.subscribeAfter(4ms, [this, callback = std::move(callback)] {
+            services::TableSnapshot snapshot;
+            for (const auto &[key, row] : owners)
+                snapshot.rows.push_back(row);
+            snapshot.next = version;
+            snapshot.serviceTime = timers.now().time_since_epoch();
+            callback(std::move(snapshot));
+        });
+    }
+    // One that may stay open is answered by change().
+    void changes(const std::string &, std::uint64_t, Duration wait,
+                 services::ChangesCallback callback) override
+    {
+        if (wait > Duration(0)) {
+            open = std::move(callback);
+            return;
+        }
+        timers.subscribeAfter(4ms, [this, callback = std::move(callback)] {
+            callback(services::TableChanges {{}, version, timers.now().time_since_epoch()});
+        });
+    }
+
+    void own(const GroupName &group, const std::string &address, OwnerEpoch epoch)
+    {
+        group::OwnershipRecord record;
+        record.epoch = epoch;
+        record.owner = {address, 1};
+        record.zone = "zone-1";
+        owners[group] = {group, group::encodeOwnership(record), std::to_string(++version)};
+    }
+    void change(const GroupName &group)
+    {
+        REQUIRE(open);
+        services::TableChanges changes;
+        changes.changes.push_back({owners.at(group), false});
+        changes.next = version;
+        changes.serviceTime = timers.now().time_since_epoch();
+        std::exchange(open, nullptr)(std::move(changes));
+    }
+
+    ManualTimerService &timers;
+    std::map<std::string, services::TableRow> owners;
+    std::uint64_t version = 0;
+    services::ChangesCallback open;
+    int reads = 0;
+    int writes = 0;
+};
+
+// One host with everything around it silent.
+struct LoneHost : public group::ServerConnector,
+                  public group::PromotionService,
+                  public host::CallerConnections
+{
+    struct Links : public inner::PeerLinks
+    {
+        void connect(const std::string &) override { }
+        void drop(const std::string &) override { }
+        void renew(const std::string &) override { }
+        inner::LinkId linkTo(const std::string &) override { return 0; }
+        absl::Status sendTo(const std::string &, inner::Message) override
+        {
+            return absl::UnavailableError("no link");
+        }
+        absl::Status sendOn(inner::LinkId, inner::Message) override { return absl::OkStatus(); }
+    };
+
+    explicit LoneHost(int theGroups, bool owned = true) : groups(theGroups)
+    {
+        for (int i = 0; owned && i < groups; ++i)
+            rows.own(nameOf(i), "10.0.1." + std::to_string(i % 200) + ":1", 1);
+        settings::HostSettings settings;
+        settings.host = "host";
+        settings.zone = zoneHere;
+        settings.address = "10.0.0.1";
+        settings.peerPort = 1;
+        settings.processors = 0.12;
+        process = std::make_unique<host::HostProcess>(
+            settings,
+            host::HostProcess::Ports {
+                1, timers,
+                [](const ProcessId &, const std::function<ConfigVersion()> &,
+                   inner::PeerEvents &) -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
+                    return std::unique_ptr<inner::PeerLinks>(std::make_unique<Links>());
+                },
+                [](const std::string &, Duration, std::function<void(ProbeOutcome)>) {}, rows, rows,
+                [] {}, *this, *this, log, metrics});
+        REQUIRE(process->start(*this).ok());
+        timers.advance(1s);
+    }
+
+    static GroupName nameOf(int index) { return "group-" + std::to_string(index); }
+
+    void connect(const group::ServerAddress &, const OrganisationName &, Duration,
+                 group::ServerConnectCallback) override
+    { }
+    void promote(const GroupName &, const ServerName &, OwnerEpoch, Duration,
+                 std::function<void(group::PromotionOutcome)>) override
+    { }
+    void stopAccepting() override { }
+    void closeIdle(std::size_t) override { }
+    std::size_t count() const override { return 0; }
+
+    void configure(ConfigVersion version)
+    {
+        auto catalogue = std::make_shared<session::Catalogue>();
+        catalogue->version = version;
+        for (int i = 0; i < groups; ++i) {
+            catalogue->groups[nameOf(i)].maxConnections = 30;
+            catalogue->routes[nameOf(i)].group = nameOf(i);
+        }
+        process->onCatalogue(std::move(catalogue));
+    }
+
+    // The primary of each group is its first server, and each third one is near.
+    void list(int groupIndex, int index, std::uint64_t sequence, bool leaving = false)
+    {
+        group::ListedServer server;
+        server.run = {nameOf(groupIndex) + "-" + std::to_string(index), group::ServerStart(1000ms)};
+        server.sequence = sequence;
+        server.group = nameOf(groupIndex);
+        server.endpoint = "10.1.0.1:" + std::to_string(1000 + groupIndex * 3 + index);
+        server.zone = "zone-" + std::to_string((groupIndex + index) % zones);
+        server.primary = index == 0;
+        server.leaving = leaving;
+        process->servers().onListed(server);
+    }
+    void listAll()
+    {
+        for (int i = 0; i < groups; ++i)
+            for (int index = 0; index < 3; ++index)
+                list(i, index, 1);
+    }
+
+    double visits()
+    {
+        double sum = 0;
+        for (const char *part : {"servers", "owners", "wanted_groups", "retold_groups"})
+            sum += metrics.visits(part).Value();
+        return sum;
+    }
+    // Of what is done now and in the second after.
+    double visitsOf(const std::function<void()> &what)
+    {
+        const double before = visits();
+        what();
+        timers.advance(1s);
+        return visits() - before;
+    }
+
+    const int groups;
+    ManualTimerService timers;
+    Rows rows {timers};
+    EventLog log {[] {
+        EventLogOptions options;
+        options.level = LogLevel::Error;
+        return options;
+    }()};
+    Metrics metrics;
+    std::unique_ptr<host::HostProcess> process;
+};
+
+// What is still done for one event, whatever the size: the servers of one group, and a few steps.
+constexpr double fewVisits = 30;
+
+} // namespace
+
+TEST_CASE("A start takes work in proportion to what there is")
+{
+    for (const bool owned : {true, false}) {
+        for (const int groups : {10, 100, 1000}) {
+            CAPTURE(owned, groups);
+            LoneHost host(groups, owned);
+            const double visits = host.visitsOf([&] {
+                host.configure(1);
+                host.listAll();
+            });
+            CHECK(visits <= fewVisits * groups);
+        }
+    }
+}
+
+TEST_CASE("The servers may be known before the configuration")
+{
+    for (const int groups : {10, 1000}) {
+        CAPTURE(groups);
+        LoneHost host(groups);
+        CHECK(host.visitsOf([&] {
+            host.listAll();
+            host.configure(1);
+        }) <= fewVisits * groups);
+    }
+}
+
+TEST_CASE("What one change costs does not grow with the deployment")
+{
+    const int groups = GENERATE(10, 100, 1000);
+    CAPTURE(groups);
+    LoneHost host(groups);
+    host.configure(1);
+    host.listAll();
+    // The host asks for changes by itself, as it hears no other.
+    host.timers.advance(25s);
+
+    SECTION("A server that leaves")
+    {
+        CHECK(host.visitsOf([&] { host.list(3, 1, 2, true); }) <= fewVisits);
+    }
+    SECTION("A configuration that names the same groups")
+    {
+        CHECK(host.visitsOf([&] { host.configure(2); }) <= fewVisits);
+    }
+    SECTION("An owner that takes a group from another one")
+    {
+        host.rows.own(host.nameOf(3), "10.0.1.7:1", 2);
+        CHECK(host.visitsOf([&] { host.rows.change(host.nameOf(3)); }) <= fewVisits);
+    }
+    SECTION("A link to another host")
+    {
+        inner::Hello hello;
+        hello.process = {"10.0.1.9:1", 1};
+        CHECK(host.visitsOf([&] { host.process->onPeerUp(1, hello); }) <= fewVisits);
+    }
+    SECTION("Nothing")
+    {
+        CHECK(host.visitsOf([&] { host.timers.advance(10s); }) <= fewVisits);
+    }
+}
