Owned groups and the order of tellers are kept, not looked for

Cause: owned() and owners() walked over the rows of all groups, the first for each group that a host might claim; each changed owner sorted all owners anew, with three hashes a comparison. Change: the set of owned groups and the owners with their number of groups are kept where a record changes; decision::TellerOrder ranks tellers by zone and answers in the number of zones.

The choice among a zone's second tellers goes by the order of the zone that they are in.

--- a/src/bench/newsmodel.cpp
+++ b/src/bench/newsmodel.cpp
@@ -136,7 +136,7 @@
     std::unique_ptr<services::StoreGate> gate;
     std::unique_ptr<host::TableNews> news;
     std::vector<std::unique_ptr<services::TableFollower>> followers;
-    std::map<std::string, decision::Teller> knownOwners;
+    decision::TellerOrder tellerOrder;
     std::map<std::string, int> configurations;
     std::map<std::string, int> serverStates;
     // Links by the other end, and the other way round.
@@ -234,13 +234,8 @@
 void Host::onOwner(const services::TableRow &row)
 {
     const std::size_t blank = row.value.find(' ');
-    knownOwners[row.key] = {row.value.substr(0, blank), row.value.substr(blank + 1)};
-    timers.post([this] {
-        std::vector<decision::Teller> candidates;
-        for (const auto &[group, owner] : knownOwners)
-            candidates.push_back(owner);
-        news->setCandidates(candidates);
-    });
+    tellerOrder.add({row.value.substr(0, blank), row.value.substr(blank + 1)});
+    timers.post([this] { news->setCandidates(tellerOrder); });
 }
 
 // A row that holds its version and bytes after it.
--- a/src/decision/tellers.cpp
+++ b/src/decision/tellers.cpp
@@ -1,8 +1,6 @@
 #include "decision/tellers.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <map>
 #include <tuple>
 
 namespace kelptally::decision {
@@ -38,32 +36,64 @@
 
 } // namespace
 
-std::vector<std::string> chooseTellers(std::vector<Teller> candidates, const std::string &zone,
-                                       std::size_t count)
+void TellerOrder::add(const Teller &teller)
 {
-    std::map<std::string, std::uint64_t> firstOf;
-    for (const Teller &teller : candidates) {
-        const std::uint64_t hash = hashOf(teller.address);
-        const auto [first, isNew] = firstOf.emplace(teller.zone, hash);
-        first->second = std::min(first->second, hash);
-    }
-    const auto rank = [&](const Teller &teller) {
-        const std::uint64_t hash = hashOf(teller.address);
-        const bool isFirst = !teller.zone.empty() && firstOf.at(teller.zone) == hash;
-        const bool isOwn = teller.zone == zone;
-        return std::make_tuple(!isFirst, !isOwn, hashOf(zone + "/" + teller.address),
-                               teller.address);
+    remove(teller.address);
+    zones_[teller.address] = teller.zone;
+    byZone_[teller.zone].insert({hashOf(teller.address), teller.address});
+}
+
+void TellerOrder::remove(const std::string &address)
+{
+    const auto known = zones_.find(address);
+    if (known == zones_.end())
+        return;
+    const auto zone = byZone_.find(known->second);
+    zone->second.erase({hashOf(address), address});
+    if (zone->second.empty())
+        byZone_.erase(zone);
+    zones_.erase(known);
+}
+
+std::vector<std::string> TellerOrder::choose(const std::string &zone, std::size_t count,
+                                             const std::set<std::string> &avoided) const
+{
+    // 1. The first ones of each zone, no more than are wanted.
+    struct Candidate
+    {
+        std::tuple<bool, bool, std::uint64_t> rank;
+        std::string address;
     };
-    std::sort(candidates.begin(), candidates.end(),
-              [&rank](const Teller &a, const Teller &b) { return rank(a) < rank(b); });
+    std::vector<Candidate> candidates;
+    for (const auto &[name, ranked] : byZone_) {
+        std::size_t taken = 0;
+        for (auto each = ranked.begin(); each != ranked.end() && taken < count; ++each) {
+            const std::string &address = each->second;
+            if (avoided.count(address) != 0)
+                continue;
+            const bool isFirst = ++taken == 1 && !name.empty();
+            candidates.push_back({{!isFirst, name != zone, hashOf(zone + "/" + address)}, address});
+        }
+    }
+    // 2. Of these the first ones for this zone.
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+        return std::tie(a.rank, a.address) < std::tie(b.rank, b.address);
+    });
     std::vector<std::string> chosen;
-    for (const Teller &teller : candidates)
-        if (chosen.size() < count
-            && std::find(chosen.begin(), chosen.end(), teller.address) == chosen.end())
-            chosen.push_back(teller.address);
+    for (std::size_t i = 0; i < std::min(count, candidates.size()); ++i)
+        chosen.push_back(std::move(candidates[i].address));
     return chosen;
 }
 
+std::vector<std::string> chooseTellers(const std::vector<Teller> &candidates,
+                                       const std::string &zone, std::size_t count)
+{
+    TellerOrder order;
+    for (const Teller &teller : candidates)
+        order.add(teller);
+    return order.choose(zone, count);
+}
+
 Duration tellerWait(Duration wait)
 {
     return std::max(std::min(wait, shortestWait), part(wait, tellerPart));
--- a/src/decision/tellers.h
+++ b/src/decision/tellers.h
@@ -3,7 +3,11 @@
 #include "core/clock.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kelptally::decision {
@@ -22,12 +26,34 @@
     std::string zone;
 };
 
-// Whom a host in the zone listens to: the first of its own zone, then the first ones of other
-// zones, in an order of the zone's own, and then any. All hosts agree on the first one of a zone,
-// so that there is about one teller for each zone. A host that finds itself among them asks the
-// service.
-std::vector<std::string> chooseTellers(std::vector<Teller> candidates, const std::string &zone,
-                                       std::size_t count);
+// The hosts that may be tellers, in an order that all hosts agree on. Kept up to date one by one:
+// with a thousand of them a list that was sorted anew at each change cost more than all else.
+class TellerOrder
+{
+public:
+    // One that is known moves to the zone.
+    void add(const Teller &teller);
+    void remove(const std::string &address);
+    std::size_t size() const { return zones_.size(); }
+
+    // Whom a host in the zone listens to: the first of its own zone, then the first ones of other
+    // zones, in an order of the zone's own, and then any. All hosts agree on the first one of a
+    // zone, so that there is about one teller for each zone. A host that finds itself among them
+    // asks the service. Those that are avoided count as missing.
+    std::vector<std::string> choose(const std::string &zone, std::size_t count,
+                                    const std::set<std::string> &avoided = {}) const;
+
+private:
+    using Ranked = std::set<std::pair<std::uint64_t, std::string>>;
+
+    // Zones by address.
+    std::map<std::string, std::string> zones_;
+    std::map<std::string, Ranked> byZone_;
+};
+
+// The same from a list.
+std::vector<std::string> chooseTellers(const std::vector<Teller> &candidates,
+                                       const std::string &zone, std::size_t count);
 
 // How long a teller's question may stay open, of the time for which a host of its own would leave
 // it open: each answer proves to all listeners that nothing else has changed.
--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -367,7 +367,8 @@
 {
     ownership_.stopClaiming();
     const Instant now = parts_.timers.now();
-    for (const GroupName &group : ownership_.owned()) {
+    const std::set<GroupName> owned = ownership_.owned();
+    for (const GroupName &group : owned) {
         Held &mine = held(group);
         if (mine.handingOver)
             continue;
--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -105,6 +105,36 @@
     return true;
 }
 
+// All that is known of an owner is kept here, so that nothing has to look for it in all rows.
+void OwnershipTable::setRecord(const GroupName &group, Entry &entry, const OwnershipRecord &record)
+{
+    if (entry.known)
+        countOwner(entry.record, -1);
+    entry.known = true;
+    entry.record = record;
+    countOwner(record, 1);
+    if (record.owner == parts_.self)
+        owned_.insert(group);
+    else
+        owned_.erase(group);
+}
+
+void OwnershipTable::countOwner(const OwnershipRecord &record, int change)
+{
+    const std::string &address = record.owner.address;
+    if (address.empty())
+        return;
+    const int groups = ownedBy_[address] += change;
+    if (groups == 0) {
+        ownedBy_.erase(address);
+        owners_.remove(address);
+        return;
+    }
+    // Who tells of an owner on the way does not know its zone.
+    if (change > 0 && (groups == 1 || !record.zone.empty()))
+        owners_.add({address, record.zone});
+}
+
 // Takes over what a row says; older news are ignored.
 void OwnershipTable::applyRecord(const GroupName &group, const OwnershipRecord &record,
                                  const std::string &etag)
@@ -119,8 +149,7 @@
     if (owned && !changed)
         return;
     const OwnershipRecord before = entry.record;
-    entry.known = true;
-    entry.record = record;
+    setRecord(group, entry, record);
     entry.etag = etag;
     if (!changed)
         return;
@@ -164,32 +193,7 @@
 
 bool OwnershipTable::owns(const GroupName &group) const
 {
-    const auto found = entries_.find(group);
-    return found != entries_.end() && found->second.known
-        && found->second.record.owner == parts_.self;
-}
-
-std::vector<GroupName> OwnershipTable::owned() const
-{
-    std::vector<GroupName> groups;
-    visits_.Increment(double(entries_.size()));
-    for (const auto &[group, entry] : entries_)
-        if (owns(group))
-            groups.push_back(group);
-    return groups;
-}
-
-std::vector<decision::Teller> OwnershipTable::owners() const
-{
-    std::map<std::string, ZoneName> zones;
-    visits_.Increment(double(entries_.size()));
-    for (const auto &[group, entry] : entries_)
-        if (entry.known && !entry.record.owner.address.empty())
-            zones[entry.record.owner.address] = entry.record.zone;
-    std::vector<decision::Teller> owners;
-    for (const auto &[address, zone] : zones)
-        owners.push_back({address, zone});
-    return owners;
+    return owned_.count(group) != 0;
 }
 
 const OwnershipRecord *OwnershipTable::record(const GroupName &group) const
@@ -350,8 +354,7 @@
                   return;
               }
               if (entry.record.epoch <= record.epoch && !owns(group)) {
-                  entry.known = true;
-                  entry.record = record;
+                  setRecord(group, entry, record);
                   acquire(group, record, entry.etag, before, serviceTime);
                   events_.onOwnerChanged(group);
               }
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -83,9 +83,9 @@
     void learnOwner(const GroupName &group, const session::OwnerRef &owner) override;
 
     // The processes that own groups, each once, with their zones.
-    std::vector<decision::Teller> owners() const;
+    const decision::TellerOrder &owners() const { return owners_; }
     bool owns(const GroupName &group) const;
-    std::vector<GroupName> owned() const;
+    const std::set<GroupName> &owned() const { return owned_; }
     const OwnershipRecord *record(const GroupName &group) const;
     // Statements may be sent, and their answers believed.
     bool leaseHolds(const GroupName &group) const;
@@ -163,6 +163,8 @@
     };
 
     void onRead();
+    void setRecord(const GroupName &group, Entry &entry, const OwnershipRecord &record);
+    void countOwner(const OwnershipRecord &record, int change);
     bool apply(const services::TableRow &row);
     void applyRecord(const GroupName &group, const OwnershipRecord &record,
                      const std::string &etag);
@@ -207,6 +209,11 @@
     prometheus::Counter &visits_;
     OwnershipEvents &events_;
     std::map<GroupName, Entry> entries_;
+    // Groups whose rows name this process.
+    std::set<GroupName> owned_;
+    decision::TellerOrder owners_;
+    // How many groups each owns, by address.
+    std::map<std::string, int> ownedBy_;
     std::set<GroupName> wanted_;
     bool claiming_ = true;
     bool asking_ = false;
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -70,7 +70,7 @@
     if (!claiming_ || decision::hasRoom(parts_.processors, 0))
         return;
     const Instant now = parts_.timers.now();
-    for (const GroupName &group : owned()) {
+    for (const GroupName &group : owned_) {
         Entry &entry = entries_[group];
         const bool calm =
             entry.record.candidate.empty() && !entry.writing && leaseHolds(group) && isAlone(group);
@@ -96,7 +96,8 @@
 void OwnershipTable::renew()
 {
     offerWithoutRoom();
-    for (const GroupName &group : owned()) {
+    const std::set<GroupName> groups = owned_;
+    for (const GroupName &group : groups) {
         if (leaseLeft(group) < lease / leasePartsLeft)
             askTakeOver(group, std::string(), "lease_runs_out");
         renewOne(group);
@@ -143,10 +144,10 @@
     asking_ = false;
     const Instant now = parts_.timers.now();
     std::set<std::string> asked;
-    visits_.Increment(double(entries_.size()));
-    for (auto &[group, entry] : entries_) {
-        if (!owns(group))
-            continue;
+    const std::set<GroupName> groups = owned_;
+    visits_.Increment(double(groups.size()));
+    for (const GroupName &group : groups) {
+        Entry &entry = entries_[group];
         const std::vector<decision::EarlierOwner> open = entry.earlier.open(now);
         if (open.empty())
             clearGuard(group);
@@ -213,10 +214,10 @@
 
 void OwnershipTable::onPeerUp(const ProcessId &process)
 {
-    visits_.Increment(double(entries_.size()));
-    for (auto &[group, entry] : entries_) {
-        if (!entry.known)
-            continue;
+    const std::set<GroupName> groups = owned_;
+    visits_.Increment(double(groups.size()));
+    for (const GroupName &group : groups) {
+        Entry &entry = entries_[group];
         if (entry.earlier.onRestarted(process))
             onEarlierEnded(group, process.address, "restarted");
     }
--- a/src/group/ownershipwrites.cpp
+++ b/src/group/ownershipwrites.cpp
@@ -132,7 +132,7 @@
               if (!owns(group) || entry.record.epoch != epoch)
                   return callback(absl::FailedPreconditionError("ownership was lost"));
               if (written.ok())
-                  entry.record = record;
+                  setRecord(group, entry, record);
               else
                   renewOne(group);
               callback(written);
--- a/src/host/tablenews.cpp
+++ b/src/host/tablenews.cpp
@@ -340,22 +340,22 @@
         static_cast<void>(parts_.links.sendTo(address, std::move(message)));
 }
 
-void TableNews::setCandidates(std::vector<decision::Teller> candidates)
+void TableNews::setCandidates(const decision::TellerOrder &candidates)
 {
-    candidates_ = std::move(candidates);
+    candidates_ = &candidates;
     chooseTellers();
 }
 
 void TableNews::chooseTellers()
 {
     const Instant now = parts_.timers.now();
-    std::vector<decision::Teller> usable;
-    for (const decision::Teller &candidate : candidates_) {
-        const auto avoided = avoided_.find(candidate.address);
-        if (avoided == avoided_.end() || avoided->second <= now)
-            usable.push_back(candidate);
-    }
-    const auto chosen = decision::chooseTellers(std::move(usable), parts_.zone, tellersEach);
+    if (candidates_ == nullptr)
+        return;
+    std::set<std::string> avoided;
+    for (const auto &[address, until] : avoided_)
+        if (until > now)
+            avoided.insert(address);
+    const std::vector<std::string> chosen = candidates_->choose(parts_.zone, tellersEach, avoided);
     selfChosen_ = std::find(chosen.begin(), chosen.end(), parts_.self) != chosen.end();
     std::map<std::string, Heard> tellers;
     if (!selfChosen_)
--- a/src/host/tablenews.h
+++ b/src/host/tablenews.h
@@ -64,8 +64,9 @@
     void changes(const std::string &table, std::uint64_t after, Duration wait,
                  services::ChangesCallback callback) override;
 
-    // The hosts that may be tellers, as far as they are known.
-    void setCandidates(std::vector<decision::Teller> candidates);
+    // The hosts that may be tellers, as far as they are known; called again when they change. They
+    // stay where they are.
+    void setCandidates(const decision::TellerOrder &candidates);
 
     void onLinkUp(const std::string &address);
     void onLinkDown(inner::LinkId link);
@@ -145,7 +146,7 @@
 
     const Parts parts_;
     std::map<std::string, Table> tables_;
-    std::vector<decision::Teller> candidates_;
+    const decision::TellerOrder *candidates_ = nullptr;
     // Tellers that this host listens to, and when each was heard.
     std::map<std::string, Heard> tellers_;
     // Tellers that told nothing, until when another is taken.
--- a/tests/host/tablenews_test.cpp
+++ b/tests/host/tablenews_test.cpp
@@ -77,9 +77,15 @@
             ask(got->next);
         });
     }
+    void setCandidates(const std::vector<decision::Teller> &tellers)
+    {
+        for (const decision::Teller &teller : tellers)
+            candidates.add(teller);
+        news.setCandidates(candidates);
+    }
     void listen()
     {
-        news.setCandidates({{"first", "zone"}, {"second", "other"}});
+        setCandidates({{"first", "zone"}, {"second", "other"}});
         news.onLinkUp("first");
         news.onLinkUp("second");
     }
@@ -98,6 +104,7 @@
     Metrics metrics;
     FakeFeed store;
     FakeLinks links;
+    decision::TellerOrder candidates;
     TableNews news {
         {timers, store, links, log, metrics, "self", "zone", "owners", true, [] { return 0.5; }}};
     int answers = 0;
@@ -169,7 +176,7 @@
 
 TEST_CASE_METHOD(Fixture, "Silent tellers are followed by others")
 {
-    news.setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
+    setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
     std::string silent;
     for (const auto &[address, count] : links.connected)
         if (count > 0 && address != "second")
