A test of the group that is not claimed after the store refused: it fails

Change: a test, three of its four moments fail (store refuses from 50, 200, 320 ms after the start; the claims of 400 ms had been made). Conclusion: a fault of its own in the code before, too: without a statement or a changed server nobody claims the group.

No functional change

--- a/tests/host/regained_test.cpp
+++ b/tests/host/regained_test.cpp
@@ -50,3 +50,19 @@
     world.checkRefused();
     CHECK(world.violations.all == std::vector<std::string>());
 }
+
+// A host wants an owner for a group as soon as it knows the group's primary. Where the store
+// refused the read before the claim, nobody claimed the group until a statement asked for it or a
+// server changed.
+TEST_CASE("A group gets its owner without a statement once the store takes calls again")
+{
+    for (const Duration refusedAt : {50ms, 200ms, 320ms, 400ms}) {
+        CAPTURE(toMilliseconds(refusedAt));
+        World world(1);
+        world.run(refusedAt);
+        world.store.down = true;
+        world.run(3s);
+        world.store.down = false;
+        CHECK(world.runUntil(3s, [&] { return world.owner() >= 0; }));
+    }
+}
