A claim of a group without an owner is made again after the store refused

Cause: the read before a claim that the store refused ended the claim, and nothing repeated it but a statement or, by the way, a change of any server. Change: it is planned again after the pause between claims, while no owner is known.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -294,7 +294,7 @@
     // serves: 2,497 were made by 187 hosts in six seconds without the store.
     if (parts_.storeIsSilent()) {
         entry.claimAfter = parts_.timers.now() + claimPause;
-        return;
+        return claimAgain(group, why);
     }
     entry.writing = true;
     const Instant sent = parts_.timers.now();
@@ -308,7 +308,7 @@
             parts_.log.warning("claim_unread")
                 .with("group", group)
                 .with("cause", row.status().message());
-            return;
+            return claimAgain(group, why);
         }
         // Over a row that can't be read nothing is claimed: its epoch must not go back.
         const bool isReadable = !*row || apply(**row);
@@ -320,6 +320,13 @@
     });
 }
 
+// Whoever wanted an owner for a group without one does not ask again.
+void OwnershipTable::claimAgain(const GroupName &group, const std::string &why)
+{
+    if (why == unowned)
+        parts_.timers.subscribeAfter(claimPause, [this, group] { wantOwner(group); });
+}
+
 void OwnershipTable::writeClaim(const GroupName &group,
                                 const std::optional<services::TableRow> &row,
                                 const std::string &why)
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -171,6 +171,7 @@
     void planClaim(const GroupName &group, const std::string &why, Duration delay);
     Duration claimDelay(const GroupName &group) const;
     void claim(const GroupName &group, OwnerEpoch seen, const std::string &why);
+    void claimAgain(const GroupName &group, const std::string &why);
     void writeClaim(const GroupName &group, const std::optional<services::TableRow> &row,
                     const std::string &why);
     // One change of a row until its outcome is known.
