--- a/tests/host/fleetwork_test.cpp
+++ b/tests/host/fleetwork_test.cpp
@@ -26,19 +26,26 @@
 
     void read(const std::string &, const std::string &key, services::RowCallback callback) override
     {
-        ++reads;
+        ++calls;
         timers.subscribeAfter(4ms, [this, key, callback = std::move(callback)] {
             const auto row = owners.find(key);
             callback(row == owners.end() ? std::nullopt : std::optional(row->second));
         });
     }
     void list(const std::string &, const std::string &, services::RowsCallback) override { }
-    void write(std::vector<services::ConditionalWrite>, services::WriteCallback) override
+    void write(std::vector<services::ConditionalWrite> writes,
+               services::WriteCallback callback) override
     {
-        ++writes;
+        ++calls;
+        ++version;
+        for (const auto &write : writes)
+            owners[write.key] = {write.key, write.value, std::to_string(version)};
+        const std::vector<std::string> tags(writes.size(), std::to_string(version));
+        timers.subscribeAfter(4ms, [tags, callback = std::move(callback)] { callback(tags); });
     }
     void snapshot(const std::string &, services::SnapshotCallback callback) override
     {
+        ++calls;
         timers.subscribeAfter(4ms, [this, callback = std::move(callback)] {
             services::TableSnapshot snapshot;
             for (const auto &[key, row] : owners)
@@ -48,18 +55,34 @@
             callback(std::move(snapshot));
         });
     }
-    // One that may stay open is answered by change().
-    void changes(const std::string &, std::uint64_t, Duration wait,
+    // One that may stay open is answered by change(), or after its time.
+    void changes(const std::string &, std::uint64_t after, Duration wait,
                  services::ChangesCallback callback) override
     {
-        if (wait > Duration(0)) {
-            open = std::move(callback);
+        ++calls;
+        if (wait == Duration(0)) {
+            timers.subscribeAfter(4ms, [this, after, callback = std::move(callback)] {
+                callback(changesAfter(after));
+            });
             return;
         }
-        timers.subscribeAfter(4ms, [this, callback = std::move(callback)] {
-            callback(services::TableChanges {{}, version, timers.now().time_since_epoch()});
+        open = std::move(callback);
+        const int asked = ++questions;
+        timers.subscribeAfter(wait, [this, after, asked] {
+            if (open && asked == questions)
+                std::exchange(open, nullptr)(changesAfter(after));
         });
     }
+    services::TableChanges changesAfter(std::uint64_t after) const
+    {
+        services::TableChanges changes;
+        for (const auto &[key, row] : owners)
+            if (std::stoull(row.etag) > after)
+                changes.changes.push_back({row, false});
+        changes.next = version;
+        changes.serviceTime = timers.now().time_since_epoch();
+        return changes;
+    }
 
     void own(const GroupName &group, const std::string &address, OwnerEpoch epoch)
     {
@@ -83,8 +106,8 @@
     std::map<std::string, services::TableRow> owners;
     std::uint64_t version = 0;
     services::ChangesCallback open;
-    int reads = 0;
-    int writes = 0;
+    int questions = 0;
+    int calls = 0;
 };
 
 // One host with everything around it silent.
@@ -105,20 +128,29 @@
         absl::Status sendOn(inner::LinkId, inner::Message) override { return absl::OkStatus(); }
     };
 
-    explicit LoneHost(int theGroups, bool owned = true) : groups(theGroups)
+    explicit LoneHost(int theGroups, bool owned = true, double theProcessors = 0.12)
+        : groups(theGroups), processors(theProcessors)
     {
         for (int i = 0; owned && i < groups; ++i)
             rows.own(nameOf(i), "10.0.1." + std::to_string(i % 200) + ":1", 1);
+        start();
+        timers.advance(1s);
+    }
+
+    // A new run of the process.
+    void start()
+    {
         settings::HostSettings settings;
         settings.host = "host";
         settings.zone = zoneHere;
         settings.address = "10.0.0.1";
         settings.peerPort = 1;
-        settings.processors = 0.12;
+        settings.processors = processors;
+        rows.calls = 0;
         process = std::make_unique<host::HostProcess>(
             settings,
             host::HostProcess::Ports {
-                1, timers,
+                ++runs, timers,
                 [](const ProcessId &, const std::function<ConfigVersion()> &,
                    inner::PeerEvents &) -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
                     return std::unique_ptr<inner::PeerLinks>(std::make_unique<Links>());
@@ -126,7 +158,6 @@
                 [](const std::string &, Duration, std::function<void(ProbeOutcome)>) {}, rows, rows,
                 [] {}, *this, *this, log, metrics});
         REQUIRE(process->start(*this).ok());
-        timers.advance(1s);
     }
 
     static GroupName nameOf(int index) { return "group-" + std::to_string(index); }
@@ -189,6 +220,8 @@
     }
 
     const int groups;
+    const double processors;
+    Incarnation runs = 0;
     ManualTimerService timers;
     Rows rows {timers};
     EventLog log {[] {
@@ -266,3 +299,42 @@
         CHECK(host.visitsOf([&] { host.timers.advance(10s); }) <= fewVisits);
     }
 }
+
+// The store takes some thousand calls a second from all hosts together, one write to the table
+// after the other, and each is paid for. With a read and a write for each group that is claimed,
+// and a read each 2.5 s for each that is owned, 1,000 groups came back seconds after their hosts.
+TEST_CASE("Calls to the store do not grow with the groups that a host owns")
+{
+    const int groups = GENERATE(10, 100, 1000);
+    CAPTURE(groups);
+    LoneHost host(groups, false, 1);
+    host.configure(1);
+    host.listAll();
+    const int atStart = host.rows.calls;
+    host.timers.advance(10s);
+    // Groups whose primary is near.
+    CHECK(int(host.process->groups().ownership().owned().size()) >= groups / zones);
+    CHECK(host.rows.calls - atStart <= 40 + groups / 5);
+
+    // In calm times a question each 2.5 s, and what the news of the table take.
+    host.timers.advance(20s);
+    const int before = host.rows.calls;
+    host.timers.advance(10s);
+    CHECK(host.rows.calls - before <= 8);
+    for (const GroupName &group : host.process->groups().ownership().owned())
+        CHECK(toMilliseconds(host.process->groups().ownership().leaseLeft(group)) > 8000);
+}
+
+TEST_CASE("All groups of a host that starts again are claimed with few calls")
+{
+    const int groups = GENERATE(10, 100, 1000);
+    CAPTURE(groups);
+    LoneHost host(groups, false, 1);
+    // An earlier run of the same process.
+    for (int i = 0; i < groups; ++i)
+        host.rows.own(host.nameOf(i), "10.0.0.1:1", 5);
+    host.start();
+    host.timers.advance(500ms);
+    CHECK(int(host.process->groups().ownership().owned().size()) == groups);
+    CHECK(host.rows.calls <= 6 + 2 * groups / 100);
+}
