Questions that any process may answer go to some, by turns

Cause: a host that looks for the owner of a group asked all that it has links with, and an owner that needs another host for a group offered it to all: after the loss of one owner each entry with a statement for it sends as many messages as there are owners. Change: 8 are asked and 24 offered at a time, each time the next ones. Ways weighed: asking only tellers (a host that the store turns away may know none that lives).

fleetwork_test with links to 3, 10, 100 and 900 hosts; sent to all, the same test saw 100 and 900 messages for one question. world, review, candidate and regained tests pass.

--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -5,6 +5,8 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
+#include <algorithm>
+
 namespace kelptally::host {
 
 namespace {
@@ -21,6 +23,10 @@
 constexpr Duration reachTimeout = std::chrono::milliseconds(150);
 // Opening a connection to the store took 1 to 3 ms where it was measured.
 constexpr Duration storeProbeTimeout = std::chrono::milliseconds(150);
+// So many other processes are asked who owns a group, and to take one, by one message. An owner has
+// links with all hosts, and each of their entries may ask in the moment in which an owner is lost.
+constexpr std::size_t mostAsked = 8;
+constexpr std::size_t mostOffered = 24;
 // Left of the grace when the process ends in any case.
 constexpr Duration leftAtEnd = std::chrono::milliseconds(700);
 
@@ -76,13 +82,9 @@
         settings_.zone,
         settings_.processors,
         [this](const GroupName &group) {
-            for (const auto &[link, address] : linkAddresses_)
-                static_cast<void>(links_->sendOn(link, inner::Locate {0, group}));
-        },
-        [this](const inner::TakeOver &message) {
-            for (const auto &[link, address] : linkAddresses_)
-                static_cast<void>(links_->sendOn(link, message));
+            sendToSome(mostAsked, inner::Locate {0, group});
         },
+        [this](const inner::TakeOver &message) { sendToSome(mostOffered, message); },
         [this](const GroupName &group) { onOwnerChanged(group); },
         [this](Instant since) { onSilence(since); },
         [this] { return store_.isSilent(); },
@@ -106,6 +108,19 @@
     return peer != host_.peers_.end() && peer->second.zone == host_.settings_.zone;
 }
 
+// Others get the next message, so that all come by turns.
+void HostProcess::sendToSome(std::size_t most, const inner::Message &message)
+{
+    auto next = linkAddresses_.upper_bound(lastAskedLink_);
+    const std::size_t count = std::min(most, linkAddresses_.size());
+    for (std::size_t i = 0; i < count; ++i, ++next) {
+        if (next == linkAddresses_.end())
+            next = linkAddresses_.begin();
+        lastAskedLink_ = next->first;
+        static_cast<void>(links_->sendOn(next->first, message));
+    }
+}
+
 // Owners are the ones that tell others: whoever sends statements has links with them anyway.
 void HostProcess::onOwnerChanged(const GroupName &group)
 {
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -131,6 +131,7 @@
     void handle(inner::LinkId, Other &)
     { }
 
+    void sendToSome(std::size_t most, const inner::Message &message);
     OpenedSession refuseSession(Reason reason);
     void onSilence(Instant since);
     void onOwnerChanged(const GroupName &group);
@@ -185,6 +186,8 @@
     std::unique_ptr<session::Router> router_;
     CallerConnections *callers_ = nullptr;
     std::map<inner::LinkId, std::string> linkAddresses_;
+    // The last one that was asked for something that any may answer.
+    inner::LinkId lastAskedLink_ = 0;
     // Processes that a link is up with and that are not being stopped.
     std::map<std::string, inner::Hello> peers_;
     std::map<GroupName, ZoneName> primaryZones_;
--- a/tests/host/fleetwork_test.cpp
+++ b/tests/host/fleetwork_test.cpp
@@ -156,7 +156,12 @@
         {
             return absl::UnavailableError("no link");
         }
-        absl::Status sendOn(inner::LinkId, inner::Message) override { return absl::OkStatus(); }
+        absl::Status sendOn(inner::LinkId link, inner::Message) override
+        {
+            ++sent[link];
+            return absl::OkStatus();
+        }
+        std::map<inner::LinkId, int> sent;
     };
 
     explicit LoneHost(int theGroups, bool owned = true, double theProcessors = 0.12)
@@ -182,9 +187,11 @@
             settings,
             host::HostProcess::Ports {
                 ++runs, timers,
-                [](const ProcessId &, const std::function<ConfigVersion()> &,
-                   inner::PeerEvents &) -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
-                    return std::unique_ptr<inner::PeerLinks>(std::make_unique<Links>());
+                [this](const ProcessId &, const std::function<ConfigVersion()> &,
+                       inner::PeerEvents &) -> absl::StatusOr<std::unique_ptr<inner::PeerLinks>> {
+                    auto made = std::make_unique<Links>();
+                    links = made.get();
+                    return std::unique_ptr<inner::PeerLinks>(std::move(made));
                 },
                 [this](const std::string &endpoint, Duration,
                        std::function<void(ProbeOutcome)> done) {
@@ -267,6 +274,7 @@
     }()};
     Metrics metrics;
     std::unique_ptr<host::HostProcess> process;
+    Links *links = nullptr;
 };
 
 // A host that owns all the groups, as it has started again.
@@ -436,3 +444,40 @@
     for (const GroupName &group : host.ownership().owned())
         CHECK(host.ownership().leaseHolds(group));
 }
+
+// Each entry that waits for an answer of a lost owner asks other processes who owns the group now,
+// and an owner that needs another host for a group offers it: once to all that it had links with.
+TEST_CASE("Questions to other processes do not grow with the links")
+{
+    const int peers = GENERATE(3, 10, 100, 900);
+    CAPTURE(peers);
+    OwnerHost host(3);
+    host.start();
+    host.timers.advance(1s);
+    REQUIRE(host.ownership().owned().size() == 3);
+    for (int i = 1; i <= peers; ++i) {
+        inner::Hello hello;
+        hello.process = {"10.0.2." + std::to_string(i) + ":1", 1};
+        host.process->onPeerUp(inner::LinkId(i), hello);
+    }
+    const auto messages = [&] {
+        int sum = 0;
+        for (const auto &[link, count] : host.links->sent)
+            sum += count;
+        return sum;
+    };
+
+    host.ownership().refreshOwner("group-0");
+    CHECK(messages() >= std::min(peers, 5));
+    CHECK(messages() <= 10);
+    host.links->sent.clear();
+    host.ownership().askTakeOver("group-0", "", "test");
+    CHECK(messages() >= std::min(peers, 5));
+    CHECK(messages() <= 30);
+    // Who asks on comes to all of them.
+    for (int i = 0; i < 60; ++i) {
+        host.timers.advance(500ms);
+        host.ownership().askTakeOver("group-0", "", "test");
+    }
+    CHECK(int(host.links->sent.size()) == peers);
+}
