A table is read page by page, one after the other

Change: services/storegate asks for each page as a call with its own time, and reads one table at a time, in the order in which they are wanted: owners, configuration, servers.

--- a/src/services/storegate.cpp
+++ b/src/services/storegate.cpp
@@ -342,13 +342,45 @@
         std::move(callback), Duration(0), parts_.timeout, false);
 }
 
+// One table after the other and page by page, each with a call's time of its own: when all hosts
+// start at once the bytes of a whole table take longer than a service may be silent.
 void StoreGate::snapshot(const std::string &table, SnapshotCallback callback)
 {
-    submit<TableSnapshot>(
-        [this, table](Duration, SnapshotCallback answer) {
-            parts_.feed.snapshot(table, std::move(answer));
+    readings_.push_back({table, {}, std::move(callback)});
+    if (readings_.size() == 1)
+        readPage();
+}
+
+void StoreGate::readPage()
+{
+    const Reading &reading = readings_.front();
+    submit<TablePage>(
+        [this, table = reading.table, from = reading.gathered.nextKey()](
+            Duration, PageCallback answer) { parts_.feed.page(table, from, std::move(answer)); },
+        [this, alive = alive_](absl::StatusOr<TablePage> page) {
+            if (*alive)
+                onPage(std::move(page));
         },
-        std::move(callback), Duration(0), std::nullopt, true);
+        Duration(0), std::nullopt, true);
+}
+
+void StoreGate::onPage(absl::StatusOr<TablePage> page)
+{
+    Reading &reading = readings_.front();
+    const absl::Status status = page.status();
+    const bool isLast = !status.ok() || page->isLast;
+    if (status.ok())
+        reading.gathered.add(*std::move(page));
+    if (!isLast)
+        return readPage();
+    const Reading done = std::move(reading);
+    readings_.pop_front();
+    if (!readings_.empty())
+        readPage();
+    if (status.ok())
+        done.callback(done.gathered);
+    else
+        done.callback(status);
 }
 
 void StoreGate::changes(const std::string &table, std::uint64_t after, Duration wait,
--- a/src/services/storegate.h
+++ b/src/services/storegate.h
@@ -94,6 +94,8 @@
     void wait(const CallPtr &call);
     // True when the result goes to the caller.
     bool onResult(const CallPtr &call, int sending, const absl::Status &status);
+    void readPage();
+    void onPage(absl::StatusOr<TablePage> page);
     void onOverdue(const CallPtr &call);
     void onAnswered(Duration took);
     void noteFailure(const Call &call, const absl::Status &status, Duration took);
@@ -112,6 +114,14 @@
 
     const Parts parts_;
     decision::StoreHealth health_;
+    // Tables that are read whole, the first one page by page.
+    struct Reading
+    {
+        std::string table;
+        TableSnapshot gathered;
+        SnapshotCallback callback;
+    };
+    std::deque<Reading> readings_;
     std::deque<CallPtr> waiting_;
     // Reads that are sent and not answered, questions for changes aside.
     std::size_t open_ = 0;
