A host without room reads tables from its teller at its start

Change: where a teller is known, a host without room for groups asks it for all rows of a table and gets them in parts; a row changed or removed meanwhile comes again. It reads from the store when the teller has not read the table itself, says nothing for 1.2 s, or nobody is known after the first look for owners. Hosts with room and tellers read from the store, so that somebody always can. Ways weighed: a row for each zone that names who tells (another table to keep right); each host reading only what it serves (the platform has no rows by group); hosts that tell on in several levels (not needed at 164 listeners with whole-core tellers).

tablenews_test: a table of 1,000 rows from the teller without a call to the store; four ways in which the teller fails; rows that change between two parts. fleetwork, news model, soak and the other host tests pass.

--- a/src/host/tablenews.cpp
+++ b/src/host/tablenews.cpp
@@ -26,6 +26,9 @@
 // A teller that told nothing is not listened to for so long.
 constexpr Duration avoidTime = std::chrono::seconds(15);
 
+// A host without room waits so long for the first look at the owners, and for each part of a table.
+constexpr Duration longestUntilTeller = std::chrono::seconds(7);
+constexpr Duration longestSilence = std::chrono::milliseconds(1200);
 // Rows of fewer bytes are told whole: a difference would save little.
 constexpr std::size_t leastLarge = 2u << 10;
 
@@ -68,27 +71,148 @@
 
 // What the follower of a table asks
 
+// Hosts with room for groups, and tellers, read from the service; the others wait for a teller.
 void TableNews::snapshot(const std::string &table, services::SnapshotCallback callback)
 {
+    if (parts_.hasRoom || table == parts_.leadingTable || isTeller())
+        return readAll(table, std::move(callback));
+    awaited_[table].callback = std::move(callback);
+    await(table, tellers_.empty() ? longestUntilTeller : longestSilence);
+    for (const auto &[address, heard] : tellers_)
+        askForAll(address);
+}
+
+void TableNews::readAll(const std::string &table, services::SnapshotCallback callback)
+{
+    reading_.insert(table);
     parts_.store.snapshot(table,
                           [this, alive = alive_, table, callback = std::move(callback)](
                               absl::StatusOr<services::TableSnapshot> snapshot) {
                               if (!*alive)
                                   return;
-                              if (snapshot.ok()) {
-                                  Table &known = tables_[table];
-                                  known.known = true;
-                                  keep(known, *snapshot);
-                                  prove(known, snapshot->serviceTime);
-                              }
+                              reading_.erase(table);
+                              if (snapshot.ok())
+                                  onSnapshot(table, *snapshot);
                               callback(std::move(snapshot));
                           });
 }
 
+void TableNews::onSnapshot(const std::string &table, const services::TableSnapshot &snapshot)
+{
+    Table &known = tables_[table];
+    keep(known, snapshot);
+    prove(known, snapshot.serviceTime);
+    for (const auto &[link, listener] : listeners_)
+        if (listener.told.count(table) != 0)
+            parts_.timers.subscribeAt(parts_.timers.now(),
+                                      [this, alive = alive_, link = link, table] {
+                                          if (*alive)
+                                              tell(link, table);
+                                      });
+}
+
+// Waiting for a teller
+
+void TableNews::await(const std::string &table, Duration limit)
+{
+    Awaited &awaited = awaited_[table];
+    parts_.timers.cancel(awaited.timer);
+    awaited.timer = parts_.timers.subscribeAfter(limit, [this, alive = alive_, table] {
+        if (*alive)
+            stopAwaiting(table, "no_teller_in_time");
+    });
+}
+
+bool TableNews::isFirstTeller(const std::string &address) const
+{
+    const auto teller = tellers_.find(address);
+    return teller != tellers_.end() && teller->second.isFirst;
+}
+
+// One table after the other; they come in parts.
+void TableNews::askForAll(const std::string &address)
+{
+    if (!isFirstTeller(address))
+        return;
+    for (auto &[table, awaited] : awaited_) {
+        await(table, longestSilence);
+        askNext(address, table, awaited.upTo);
+    }
+}
+
+void TableNews::askNext(const std::string &address, const std::string &table, std::uint64_t after)
+{
+    inner::FollowTables next;
+    next.tables.push_back({table, after});
+    next.withRows = isFirstTeller(address);
+    next.takesParts = true;
+    next.continues = true;
+    static_cast<void>(parts_.links.sendTo(address, std::move(next)));
+}
+
+void TableNews::onAwaited(const std::string &from, const inner::TableNews &news)
+{
+    Awaited &awaited = awaited_.at(news.table);
+    // The answer to an earlier question.
+    if (!isFirstTeller(from) || news.after != awaited.upTo)
+        return;
+    if (news.leftOut)
+        return stopAwaiting(news.table, "left_out");
+    for (const inner::NewsRow &row : news.rows) {
+        if (row.differsFrom != 0)
+            return stopAwaiting(news.table, "difference");
+        if (row.removed)
+            awaited.rows.erase(row.key);
+        else
+            awaited.rows[row.key] = toChange(row, news.serviceTime).row;
+    }
+    awaited.upTo = news.upTo;
+    if (news.isPart) {
+        await(news.table, longestSilence);
+        return askNext(from, news.table, news.upTo);
+    }
+    services::TableSnapshot snapshot;
+    for (auto &[key, row] : awaited.rows)
+        snapshot.rows.push_back(std::move(row));
+    snapshot.next = news.upTo;
+    snapshot.serviceTime = news.serviceTime;
+    parts_.timers.cancel(awaited.timer);
+    const services::SnapshotCallback callback = std::move(awaited.callback);
+    awaited_.erase(news.table);
+    parts_.log.info("table_told")
+        .with("table", news.table)
+        .with("rows", std::uint64_t(snapshot.rows.size()))
+        .with("teller", from);
+    onSnapshot(news.table, snapshot);
+    callback(std::move(snapshot));
+}
+
+void TableNews::stopAwaitingAll()
+{
+    std::vector<std::string> tables;
+    for (const auto &[table, awaited] : awaited_)
+        tables.push_back(table);
+    for (const std::string &table : tables)
+        stopAwaiting(table, "no_teller");
+}
+
+void TableNews::stopAwaiting(const std::string &table, const char *why)
+{
+    const auto found = awaited_.find(table);
+    if (found == awaited_.end())
+        return;
+    parts_.timers.cancel(found->second.timer);
+    services::SnapshotCallback callback = std::move(found->second.callback);
+    awaited_.erase(found);
+    parts_.log.info("table_read", why).with("table", table);
+    readAll(table, std::move(callback));
+}
+
 // All rows, for listeners that know nothing yet.
 void TableNews::keep(Table &table, const services::TableSnapshot &snapshot)
 {
     table.known = true;
+    table.isWhole = true;
     table.from = 0;
     table.upTo = snapshot.next;
     table.mustRead = false;
@@ -123,6 +247,7 @@
         known.known = true;
         known.from = known.upTo = after;
         known.history.clear();
+        known.isWhole = false;
         known.compacted = 0;
     }
     if (isNew) {
@@ -253,6 +378,9 @@
         if (!*alive)
             return;
         hasLooked_ = hasLooked_ || (isLeading && looks_ >= mostLooks);
+        // Nobody owns a group yet, or none that could tell.
+        if (isLeading && tellers_.empty())
+            stopAwaitingAll();
         considerAll();
     });
 }
@@ -383,6 +511,8 @@
 
 void TableNews::onNews(const std::string &from, const inner::TableNews &news)
 {
+    if (awaited_.count(news.table) != 0)
+        return onAwaited(from, news);
     const auto found = tables_.find(news.table);
     const auto teller = tellers_.find(from);
     if (found == tables_.end() || teller == tellers_.end())
@@ -409,12 +539,7 @@
     deliver(table);
     if (!news.isPart)
         return;
-    inner::FollowTables next;
-    next.tables.push_back({table.name, table.upTo});
-    next.withRows = teller->second.isFirst;
-    next.takesParts = true;
-    next.continues = true;
-    static_cast<void>(parts_.links.sendTo(from, std::move(next)));
+    askNext(from, table.name, table.upTo);
 }
 
 // Nothing when a row is told as a difference from a value that is not known here.
@@ -466,8 +591,10 @@
 
 void TableNews::onLinkUp(const std::string &address)
 {
-    if (tellers_.count(address) != 0)
-        follow(address);
+    if (tellers_.count(address) == 0)
+        return;
+    follow(address);
+    askForAll(address);
 }
 
 void TableNews::follow(const std::string &address)
--- a/src/host/tablenews.h
+++ b/src/host/tablenews.h
@@ -101,6 +101,8 @@
         std::uint64_t from = 0;
         std::uint64_t upTo = 0;
         std::deque<Change> history;
+        // The history has all rows.
+        bool isWhole = false;
         // Its length when superseded changes were taken out last.
         std::size_t compacted = 0;
         // The newest value of each large row, from which the next one differs.
@@ -137,6 +139,15 @@
         bool isFirst = false;
     };
 
+    // A table that this host has not read yet, and waits for from its teller.
+    struct Awaited
+    {
+        services::SnapshotCallback callback;
+        std::map<std::string, services::TableRow> rows;
+        std::uint64_t upTo = 0;
+        TimerId timer = 0;
+    };
+
     // Listeners that must read, and tellers that have much to tell, spread it over this part of the
     // time for which a question stays open.
     static constexpr int readPart = 8;
@@ -145,6 +156,17 @@
     static std::size_t sizeOf(const Change &change);
     static bool isLarge(const services::TableRow &row);
 
+    // The first reading of a table, from the service or from the teller.
+    void readAll(const std::string &table, services::SnapshotCallback callback);
+    void onSnapshot(const std::string &table, const services::TableSnapshot &snapshot);
+    void await(const std::string &table, Duration limit);
+    void askForAll(const std::string &address);
+    void onAwaited(const std::string &from, const inner::TableNews &news);
+    void stopAwaiting(const std::string &table, const char *why);
+    void stopAwaitingAll();
+    bool isFirstTeller(const std::string &address) const;
+    void askNext(const std::string &address, const std::string &table, std::uint64_t after);
+
     void consider(Table &table);
     void considerAll();
     Instant dueAt(const Table &table) const;
@@ -161,6 +183,8 @@
     void prove(Table &table, std::optional<Duration> serviceTime);
     void deliver(Table &table);
     void readSoon(Table &table);
+    bool tellsSoon(const std::string &table) const;
+    void refuseAll(inner::LinkId link, const std::string &table);
     void tellAll(const Table &table);
     void tell(inner::LinkId link, const std::string &table);
     std::size_t pendingBytes(const Table &table) const;
@@ -176,6 +200,9 @@
 
     const Parts parts_;
     std::map<std::string, Table> tables_;
+    std::map<std::string, Awaited> awaited_;
+    // Tables that are being read from the service.
+    std::set<std::string> reading_;
     const decision::TellerOrder *candidates_ = nullptr;
     // Tellers that this host listens to, and when each was heard.
     std::map<std::string, Heard> tellers_;
--- a/src/host/tablenewstelling.cpp
+++ b/src/host/tablenewstelling.cpp
@@ -11,6 +11,8 @@
 // before, or read by a listener that takes no parts: on links of 20 Mbit/s 50 listeners get 32 KB
 // within 0.7 s.
 constexpr std::size_t partBytes = 32u << 10;
+// Of a table that a listener reads for the first time.
+constexpr std::size_t largestFirstRow = 512u << 10;
 // Where bytes cross zones a call for reading is dearer than this, and cheaper than more.
 constexpr std::size_t mostToldFar = 16u << 10;
 // More than this goes out spread over time.
@@ -31,11 +33,29 @@
     listener.takesParts = follow.takesParts;
     for (const inner::FollowedTable &followed : follow.tables) {
         listener.told[followed.table] = followed.after;
+        if (!tellsSoon(followed.table))
+            refuseAll(link, followed.table);
         tell(link, followed.table);
     }
     considerAll();
 }
 
+// It is known here, or being read.
+bool TableNews::tellsSoon(const std::string &table) const
+{
+    const auto known = tables_.find(table);
+    return (known != tables_.end() && known->second.known) || reading_.count(table) != 0;
+}
+
+// Whoever waits for the whole table reads it.
+void TableNews::refuseAll(inner::LinkId link, const std::string &table)
+{
+    inner::TableNews news;
+    news.table = table;
+    news.leftOut = true;
+    static_cast<void>(parts_.links.sendOn(link, std::move(news)));
+}
+
 // Of rows that some listener has not been told.
 std::size_t TableNews::pendingBytes(const Table &table) const
 {
@@ -110,9 +130,11 @@
 void TableNews::fill(inner::TableNews &news, const Table &table, const Listener &listener,
                      bool isNear)
 {
-    news.leftOut = news.after < table.from;
+    news.leftOut = news.after == 0 ? !table.isWhole : news.after < table.from;
     const std::size_t most = !listener.withRows ? 0 : isNear ? partBytes : mostToldFar;
     const bool inParts = isNear && listener.withRows && listener.takesParts;
+    // A change reaches all listeners at once, a first reading one.
+    const std::size_t largest = news.after == 0 ? largestFirstRow : partBytes;
     std::map<std::string, std::uint64_t> known;
     std::size_t bytes = 0;
     std::uint64_t last = news.after;
@@ -129,7 +151,7 @@
         if (!row)
             continue;
         bytes += row->key.size() + row->value.size();
-        news.leftOut = inParts ? row->value.size() > partBytes : bytes > most;
+        news.leftOut = inParts ? row->value.size() > largest : bytes > most;
         news.rows.push_back(std::move(*row));
     }
     if (news.leftOut)
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -361,7 +361,7 @@
 void layout(Archive &archive, M &m, const NewsRow &)
 {
     archive.text(m.key, maxNameBytes);
-    archive.text(m.value, maxTextBytes);
+    archive.text(m.value, maxSqlBytes);
     archive.number(m.version);
     archive.flag(m.removed);
     archive.number(m.differsFrom);
--- a/tests/host/tablenews_test.cpp
+++ b/tests/host/tablenews_test.cpp
@@ -15,6 +15,7 @@
 {
     void snapshot(const std::string &, services::SnapshotCallback callback) override
     {
+        ++snapshots;
         services::TableSnapshot snapshot;
         snapshot.next = 100;
         snapshot.serviceTime = serviceTime;
@@ -27,6 +28,7 @@
         answer = std::move(callback);
     }
 
+    int snapshots = 0;
     std::optional<Duration> serviceTime;
     std::vector<std::pair<std::uint64_t, Duration>> asked;
     services::ChangesCallback answer;
@@ -417,3 +419,162 @@
     news.onFollow(3, {{{"t", 100}}, true, true});
     CHECK(links.told.back().second.leftOut);
 }
+
+namespace {
+
+// A host without room that has just started, and one that has read the table.
+struct StartFixture
+{
+    StartFixture()
+    {
+        store.serviceTime = timers.now().time_since_epoch() - 1000s;
+        tellerStore.serviceTime = store.serviceTime;
+    }
+    void start()
+    {
+        news.snapshot("t", [this](auto snapshot) {
+            REQUIRE(snapshot.ok());
+            read = *std::move(snapshot);
+        });
+    }
+    void findTellers()
+    {
+        candidates.add({"first", "zone"});
+        candidates.add({"second", "other"});
+        news.setCandidates(candidates);
+        news.onLinkUp("first");
+        news.onLinkUp("second");
+    }
+    // Carries messages between the two until none is left.
+    void carry()
+    {
+        for (std::size_t i = 0; i < links.sent.size(); ++i) {
+            if (links.sent[i].first != "first")
+                continue;
+            teller.onFollow(1, std::get<inner::FollowTables>(links.sent[i].second));
+            const auto told = std::move(tellerLinks.told);
+            tellerLinks.told.clear();
+            for (const auto &[link, message] : told)
+                news.onNews("first", message);
+        }
+        links.sent.clear();
+    }
+
+    ManualTimerService timers;
+    EventLog log {[] {
+        EventLogOptions options;
+        options.level = LogLevel::Error;
+        return options;
+    }()};
+    Metrics metrics;
+    FakeFeed store;
+    FakeFeed tellerStore;
+    FakeLinks links;
+    FakeLinks tellerLinks;
+    decision::TellerOrder candidates;
+    TableNews news {
+        {timers, store, links, log, metrics, "self", "zone", "owners", false, [] { return 0.5; }}};
+    TableNews teller {{timers, tellerStore, tellerLinks, log, metrics, "first", "zone", "owners",
+                       true, [] { return 0.5; }}};
+    std::optional<services::TableSnapshot> read;
+};
+
+} // namespace
+
+// Each of 986 hosts read 3,000 servers and the configuration from the store at its start, 1.3 MB:
+// half of all bytes there on a calm day, and seconds of its link when all came back at once.
+TEST_CASE_METHOD(StartFixture, "A host without room reads a table from its teller")
+{
+    teller.snapshot("t", [](const auto &) {});
+    teller.changes("t", 100, wait, [](const auto &) {});
+    teller.onFollow(9, {{{"t", 100}}, true, true});
+    tellerStore.answer(changesOf(1000, 101, *tellerStore.serviceTime));
+    timers.advance(1s);
+    tellerLinks.told.clear();
+
+    start();
+    CHECK(store.snapshots == 0);
+    findTellers();
+    carry();
+    REQUIRE(read);
+    CHECK(read->rows.size() == 1000);
+    CHECK(read->next == 201);
+    CHECK(read->serviceTime == tellerStore.serviceTime);
+    CHECK(store.snapshots == 0);
+    // It goes on from there, and can tell others itself.
+    news.changes("t", read->next, wait, [](const auto &) {});
+    news.onFollow(7, {{{"t", 0}}, true, true});
+    REQUIRE(!links.told.empty());
+    CHECK(!links.told.back().second.leftOut);
+    CHECK(links.told.back().second.rows.size() > 10);
+}
+
+TEST_CASE_METHOD(StartFixture, "A host reads from the store when its teller can't tell the table")
+{
+    SECTION("It has not read it")
+    {
+        start();
+        findTellers();
+        carry();
+    }
+    SECTION("It says nothing")
+    {
+        start();
+        findTellers();
+        timers.advance(1500ms);
+    }
+    SECTION("It falls silent between two parts")
+    {
+        teller.snapshot("t", [](const auto &) {});
+        teller.changes("t", 100, wait, [](const auto &) {});
+        teller.onFollow(9, {{{"t", 100}}, true, true});
+        tellerStore.answer(changesOf(1000, 101, *tellerStore.serviceTime));
+        timers.advance(1s);
+        tellerLinks.told.clear();
+        start();
+        findTellers();
+        teller.onFollow(1, std::get<inner::FollowTables>(links.sent.front().second));
+        REQUIRE(tellerLinks.told.back().second.isPart);
+        news.onNews("first", tellerLinks.told.back().second);
+        CHECK(!read);
+        timers.advance(1500ms);
+    }
+    SECTION("There is none")
+    {
+        start();
+        timers.advance(8s);
+    }
+    CHECK(store.snapshots == 1);
+    CHECK(read);
+}
+
+TEST_CASE_METHOD(StartFixture, "Rows that change while a table is told are told once more")
+{
+    teller.snapshot("t", [](const auto &) {});
+    teller.changes("t", 100, wait, [](const auto &) {});
+    teller.onFollow(9, {{{"t", 100}}, true, true});
+    tellerStore.answer(changesOf(1000, 101, *tellerStore.serviceTime));
+    timers.advance(1s);
+    tellerLinks.told.clear();
+    start();
+    findTellers();
+    teller.onFollow(1, std::get<inner::FollowTables>(links.sent.front().second));
+    news.onNews("first", tellerLinks.told.back().second);
+    links.sent.erase(links.sent.begin());
+    tellerLinks.told.clear();
+    services::TableChanges changes = changesOf(1, 300, *tellerStore.serviceTime, 5);
+    changes.changes.push_back({{"row1", "", "301"}, true});
+    changes.next = 301;
+    teller.changes("t", 201, wait, [](const auto &) {});
+    tellerStore.answer(changes);
+    tellerLinks.told.clear();
+    carry();
+    REQUIRE(read);
+    CHECK(read->next == 301);
+    CHECK(read->rows.size() == 999);
+    for (const services::TableRow &row : read->rows) {
+        CHECK(row.key != "row1");
+        if (row.key == "row0")
+            CHECK(row.value == "xxxxx");
+    }
+}
