--- a/src/host/tablenews.cpp
+++ b/src/host/tablenews.cpp
@@ -13,9 +13,12 @@
 
 // Each host listens to so many: one may die without anybody asking the service.
 constexpr std::size_t tellersEach = 2;
-// Rows kept for listeners that are behind; what is older they read themselves.
-constexpr std::size_t maxHistoryRows = 256;
-constexpr std::size_t maxHistoryBytes = 256u << 10;
+// Rows that are gone are kept for listeners that are behind; those further behind read the table.
+constexpr std::size_t maxRemoved = 256;
+// The history is gone through once it has grown by so much, at least to twice its length.
+constexpr std::size_t compactAfter = 256;
+// Of a large row, for listeners that know one of its last versions.
+constexpr int keptDifferences = 8;
 // A host that finds no teller looks once more before it follows the tables itself.
 constexpr int mostLooks = 2;
 // The service's clock went back by more than answers overtake each other: it is another one.
@@ -23,6 +26,9 @@
 // A teller that told nothing is not listened to for so long.
 constexpr Duration avoidTime = std::chrono::seconds(15);
 
+// A host without room waits so long for the first look at the owners, and for each part of a table.
+constexpr Duration longestUntilTeller = std::chrono::seconds(7);
+constexpr Duration longestSilence = std::chrono::milliseconds(1200);
 // Rows of fewer bytes are told whole: a difference would save little.
 constexpr std::size_t leastLarge = 2u << 10;
 
@@ -65,30 +71,168 @@
 
 // What the follower of a table asks
 
+// Hosts with room for groups, and tellers, read from the service; the others wait for a teller.
 void TableNews::snapshot(const std::string &table, services::SnapshotCallback callback)
 {
+    if (parts_.hasRoom || table == parts_.leadingTable || isTeller())
+        return readAll(table, std::move(callback));
+    awaited_[table].callback = std::move(callback);
+    await(table, tellers_.empty() ? longestUntilTeller : longestSilence);
+    for (const auto &[address, heard] : tellers_)
+        askForAll(address);
+}
+
+void TableNews::readAll(const std::string &table, services::SnapshotCallback callback)
+{
+    reading_.insert(table);
     parts_.store.snapshot(table,
                           [this, alive = alive_, table, callback = std::move(callback)](
                               absl::StatusOr<services::TableSnapshot> snapshot) {
                               if (!*alive)
                                   return;
-                              if (snapshot.ok()) {
-                                  Table &known = tables_[table];
-                                  known.known = true;
-                                  known.from = known.upTo = snapshot->next;
-                                  known.history.clear();
-                                  known.historyBytes = 0;
-                                  known.mustRead = false;
-                                  known.large.clear();
-                                  for (const services::TableRow &row : snapshot->rows)
-                                      if (isLarge(row))
-                                          known.large[row.key] = {versionOf(row), row.value};
-                                  prove(known, snapshot->serviceTime);
-                              }
+                              reading_.erase(table);
+                              if (snapshot.ok())
+                                  onSnapshot(table, *snapshot);
                               callback(std::move(snapshot));
                           });
 }
 
+void TableNews::onSnapshot(const std::string &table, const services::TableSnapshot &snapshot)
+{
+    Table &known = tables_[table];
+    keep(known, snapshot);
+    prove(known, snapshot.serviceTime);
+    for (const auto &[link, listener] : listeners_)
+        if (listener.told.count(table) != 0)
+            parts_.timers.subscribeAt(parts_.timers.now(),
+                                      [this, alive = alive_, link = link, table] {
+                                          if (*alive)
+                                              tell(link, table);
+                                      });
+}
+
+// Waiting for a teller
+
+void TableNews::await(const std::string &table, Duration limit)
+{
+    Awaited &awaited = awaited_[table];
+    parts_.timers.cancel(awaited.timer);
+    awaited.timer = parts_.timers.subscribeAfter(limit, [this, alive = alive_, table] {
+        if (*alive)
+            stopAwaiting(table, "no_teller_in_time");
+    });
+}
+
+bool TableNews::isFirstTeller(const std::string &address) const
+{
+    const auto teller = tellers_.find(address);
+    return teller != tellers_.end() && teller->second.isFirst;
+}
+
+// One table after the other; they come in parts.
+void TableNews::askForAll(const std::string &address)
+{
+    if (!isFirstTeller(address))
+        return;
+    for (auto &[table, awaited] : awaited_) {
+        await(table, longestSilence);
+        askNext(address, table, awaited.upTo);
+    }
+}
+
+void TableNews::askNext(const std::string &address, const std::string &table, std::uint64_t after)
+{
+    inner::FollowTables next;
+    next.tables.push_back({table, after});
+    next.withRows = isFirstTeller(address);
+    next.takesParts = true;
+    next.continues = true;
+    static_cast<void>(parts_.links.sendTo(address, std::move(next)));
+}
+
+void TableNews::onAwaited(const std::string &from, const inner::TableNews &news)
+{
+    Awaited &awaited = awaited_.at(news.table);
+    // The answer to an earlier question.
+    if (!isFirstTeller(from) || news.after != awaited.upTo)
+        return;
+    if (news.leftOut)
+        return stopAwaiting(news.table, "left_out");
+    for (const inner::NewsRow &row : news.rows) {
+        if (row.differsFrom != 0)
+            return stopAwaiting(news.table, "difference");
+        if (row.removed)
+            awaited.rows.erase(row.key);
+        else
+            awaited.rows[row.key] = toChange(row, news.serviceTime).row;
+    }
+    awaited.upTo = news.upTo;
+    if (news.isPart) {
+        await(news.table, longestSilence);
+        return askNext(from, news.table, news.upTo);
+    }
+    services::TableSnapshot snapshot;
+    for (auto &[key, row] : awaited.rows)
+        snapshot.rows.push_back(std::move(row));
+    snapshot.next = news.upTo;
+    snapshot.serviceTime = news.serviceTime;
+    parts_.timers.cancel(awaited.timer);
+    const services::SnapshotCallback callback = std::move(awaited.callback);
+    awaited_.erase(news.table);
+    parts_.log.info("table_told")
+        .with("table", news.table)
+        .with("rows", std::uint64_t(snapshot.rows.size()))
+        .with("teller", from);
+    onSnapshot(news.table, snapshot);
+    callback(std::move(snapshot));
+}
+
+void TableNews::stopAwaitingAll()
+{
+    std::vector<std::string> tables;
+    for (const auto &[table, awaited] : awaited_)
+        tables.push_back(table);
+    for (const std::string &table : tables)
+        stopAwaiting(table, "no_teller");
+}
+
+void TableNews::stopAwaiting(const std::string &table, const char *why)
+{
+    const auto found = awaited_.find(table);
+    if (found == awaited_.end())
+        return;
+    parts_.timers.cancel(found->second.timer);
+    services::SnapshotCallback callback = std::move(found->second.callback);
+    awaited_.erase(found);
+    parts_.log.info("table_read", why).with("table", table);
+    readAll(table, std::move(callback));
+}
+
+// All rows, for listeners that know nothing yet.
+void TableNews::keep(Table &table, const services::TableSnapshot &snapshot)
+{
+    table.known = true;
+    table.isWhole = true;
+    table.from = 0;
+    table.upTo = snapshot.next;
+    table.mustRead = false;
+    table.history.clear();
+    table.large.clear();
+    for (const services::TableRow &row : snapshot.rows) {
+        Change change;
+        change.row.row = row;
+        change.isLarge = isLarge(row);
+        if (change.isLarge)
+            table.large[row.key] = {versionOf(row),
+                                    std::exchange(change.row.row.value, std::string())};
+        table.history.push_back(std::move(change));
+    }
+    std::sort(table.history.begin(), table.history.end(), [](const Change &a, const Change &b) {
+        return versionOf(a.row.row) < versionOf(b.row.row);
+    });
+    table.compacted = table.history.size();
+}
+
 void TableNews::changes(const std::string &table, std::uint64_t after, Duration wait,
                         services::ChangesCallback callback)
 {
@@ -103,7 +247,8 @@
         known.known = true;
         known.from = known.upTo = after;
         known.history.clear();
-        known.historyBytes = 0;
+        known.isWhole = false;
+        known.compacted = 0;
     }
     if (isNew) {
         known.draw = parts_.draw();
@@ -223,7 +368,8 @@
     std::vector<Change> changes;
     for (const services::RowChange &row : answer->changes)
         changes.push_back(changeOf(table, row));
-    merge(table, std::move(changes), answer->next, answer->serviceTime);
+    merge(table, std::move(changes), answer->next);
+    prove(table, answer->serviceTime);
     tellAll(table);
     deliver(table);
     // Tellers that the leading table has named are chosen before anything else is asked for.
@@ -232,6 +378,9 @@
         if (!*alive)
             return;
         hasLooked_ = hasLooked_ || (isLeading && looks_ >= mostLooks);
+        // Nobody owns a group yet, or none that could tell.
+        if (isLeading && tellers_.empty())
+            stopAwaitingAll();
         considerAll();
     });
 }
@@ -256,8 +405,7 @@
 }
 
 // Rows that are known already are left out; those that are new follow without a gap.
-void TableNews::merge(Table &table, std::vector<Change> changes, std::uint64_t upTo,
-                      std::optional<Duration> serviceTime)
+void TableNews::merge(Table &table, std::vector<Change> changes, std::uint64_t upTo)
 {
     for (Change &change : changes) {
         services::TableRow &row = change.row.row;
@@ -267,21 +415,45 @@
             table.large[row.key] = {versionOf(row), std::exchange(row.value, std::string())};
         else
             table.large.erase(row.key);
-        table.historyBytes += sizeOf(change);
         table.history.push_back(std::move(change));
     }
     table.upTo = std::max(table.upTo, upTo);
     table.mustRead = table.mustRead && table.upTo < table.readUpTo;
-    while (table.history.size() > maxHistoryRows || table.historyBytes > maxHistoryBytes) {
-        // What the own follower has not had yet stays.
-        const std::uint64_t oldest = versionOf(table.history.front().row.row);
-        if (table.isOpen && oldest > table.after)
-            break;
-        table.from = oldest;
-        table.historyBytes -= sizeOf(table.history.front());
-        table.history.pop_front();
+    if (table.history.size() > 2 * table.compacted + compactAfter)
+        compact(table);
+}
+
+// Takes out what a later change of the same row has superseded, so that the history is as long as
+// the table and not as its past. Large rows keep a chain of differences while it is short.
+void TableNews::compact(Table &table)
+{
+    std::set<std::string> seen;
+    std::map<std::string, int> differences;
+    std::deque<Change> kept;
+    std::size_t removed = 0;
+    for (auto change = table.history.rbegin(); change != table.history.rend(); ++change) {
+        const std::string &key = change->row.row.key;
+        const bool isNewest = seen.insert(key).second;
+        const bool links = change->isLarge && ++differences[key] <= keptDifferences;
+        if (!isNewest && !links)
+            continue;
+        if (change->row.removed && ++removed > maxRemoved) {
+            table.from = std::max(table.from, versionOf(change->row.row));
+            continue;
+        }
+        kept.push_front(std::move(*change));
     }
-    prove(table, serviceTime);
+    table.history.swap(kept);
+    table.compacted = table.history.size();
+}
+
+std::deque<TableNews::Change>::const_iterator TableNews::firstAfter(const Table &table,
+                                                                    std::uint64_t version)
+{
+    return std::upper_bound(table.history.begin(), table.history.end(), version,
+                            [](std::uint64_t after, const Change &change) {
+                                return after < versionOf(change.row.row);
+                            });
 }
 
 // The service's clock runs as this host's does, and the fastest news so far bound how far apart
@@ -307,16 +479,14 @@
                                                          std::uint64_t version) const
 {
     std::vector<services::RowChange> changes;
-    for (const Change &change : table.history) {
-        const std::uint64_t changed = versionOf(change.row.row);
-        if (changed <= version)
-            continue;
-        const auto large = table.large.find(change.row.row.key);
-        const bool isNewest = large != table.large.end() && large->second.version == changed;
-        if (change.isLarge && !isNewest)
+    for (auto change = firstAfter(table, version); change != table.history.end(); ++change) {
+        const services::TableRow &row = change->row.row;
+        const auto large = table.large.find(row.key);
+        const bool isNewest = large != table.large.end() && large->second.version == versionOf(row);
+        if (change->isLarge && !isNewest)
             continue;
-        changes.push_back(change.row);
-        if (change.isLarge)
+        changes.push_back(change->row);
+        if (change->isLarge)
             changes.back().row.value = large->second.value;
     }
     return changes;
@@ -341,6 +511,8 @@
 
 void TableNews::onNews(const std::string &from, const inner::TableNews &news)
 {
+    if (awaited_.count(news.table) != 0)
+        return onAwaited(from, news);
     const auto found = tables_.find(news.table);
     const auto teller = tellers_.find(from);
     if (found == tables_.end() || teller == tellers_.end())
@@ -361,8 +533,13 @@
         table.readUpTo = news.upTo;
         return readSoon(table);
     }
-    merge(table, *std::move(changes), news.upTo, news.serviceTime);
+    merge(table, *std::move(changes), news.upTo);
+    if (!news.isPart)
+        prove(table, news.serviceTime);
     deliver(table);
+    if (!news.isPart)
+        return;
+    askNext(from, table.name, table.upTo);
 }
 
 // Nothing when a row is told as a difference from a value that is not known here.
@@ -414,15 +591,17 @@
 
 void TableNews::onLinkUp(const std::string &address)
 {
-    if (tellers_.count(address) != 0)
-        follow(address);
+    if (tellers_.count(address) == 0)
+        return;
+    follow(address);
+    askForAll(address);
 }
 
 void TableNews::follow(const std::string &address)
 {
     inner::FollowTables message;
     message.withRows = tellers_.at(address).isFirst;
-    message.takesDifferences = true;
+    message.takesParts = true;
     for (const auto &[name, table] : tables_)
         if (!table.name.empty())
             message.tables.push_back({name, table.upTo});
--- a/src/host/tablenews.h
+++ b/src/host/tablenews.h
@@ -95,14 +95,18 @@
     struct Table
     {
         std::string name;
-        // Everything that changed after the first version, up to the second, is in the history.
+        // The newest state of each row that changed after the first version, up to the second, is
+        // in the history, by version. After a snapshot that are all rows.
         bool known = false;
         std::uint64_t from = 0;
         std::uint64_t upTo = 0;
         std::deque<Change> history;
+        // The history has all rows.
+        bool isWhole = false;
+        // Its length when superseded changes were taken out last.
+        std::size_t compacted = 0;
         // The newest value of each large row, from which the next one differs.
         std::map<std::string, LargeRow> large;
-        std::size_t historyBytes = 0;
         // The service's clock at the newest proof, and the same moment by this host's.
         std::optional<Duration> serviceTime;
         Instant provenAt {};
@@ -126,7 +130,7 @@
         // Tables and the version that each was told.
         std::map<std::string, std::uint64_t> told;
         bool withRows = true;
-        bool takesDifferences = false;
+        bool takesParts = false;
     };
     struct Heard
     {
@@ -135,6 +139,15 @@
         bool isFirst = false;
     };
 
+    // A table that this host has not read yet, and waits for from its teller.
+    struct Awaited
+    {
+        services::SnapshotCallback callback;
+        std::map<std::string, services::TableRow> rows;
+        std::uint64_t upTo = 0;
+        TimerId timer = 0;
+    };
+
     // Listeners that must read, and tellers that have much to tell, spread it over this part of the
     // time for which a question stays open.
     static constexpr int readPart = 8;
@@ -143,25 +156,43 @@
     static std::size_t sizeOf(const Change &change);
     static bool isLarge(const services::TableRow &row);
 
+    // The first reading of a table, from the service or from the teller.
+    void readAll(const std::string &table, services::SnapshotCallback callback);
+    void onSnapshot(const std::string &table, const services::TableSnapshot &snapshot);
+    void await(const std::string &table, Duration limit);
+    void askForAll(const std::string &address);
+    void onAwaited(const std::string &from, const inner::TableNews &news);
+    void stopAwaiting(const std::string &table, const char *why);
+    void stopAwaitingAll();
+    bool isFirstTeller(const std::string &address) const;
+    void askNext(const std::string &address, const std::string &table, std::uint64_t after);
+
     void consider(Table &table);
     void considerAll();
     Instant dueAt(const Table &table) const;
     void ask(Table &table, Duration wait, const char *why);
     void onAnswer(Table &table, std::uint64_t question,
                   const absl::StatusOr<services::TableChanges> &answer);
-    void merge(Table &table, std::vector<Change> changes, std::uint64_t upTo,
-               std::optional<Duration> serviceTime);
+    static void keep(Table &table, const services::TableSnapshot &snapshot);
+    void merge(Table &table, std::vector<Change> changes, std::uint64_t upTo);
+    static void compact(Table &table);
+    static std::deque<Change>::const_iterator firstAfter(const Table &table, std::uint64_t version);
     Change changeOf(const Table &table, const services::RowChange &row) const;
     std::optional<std::vector<Change>> changesOf(const Table &table,
                                                  const inner::TableNews &news) const;
     void prove(Table &table, std::optional<Duration> serviceTime);
     void deliver(Table &table);
     void readSoon(Table &table);
+    bool tellsSoon(const std::string &table) const;
+    void refuseAll(inner::LinkId link, const std::string &table);
     void tellAll(const Table &table);
     void tell(inner::LinkId link, const std::string &table);
     std::size_t pendingBytes(const Table &table) const;
-    std::vector<inner::NewsRow> newsFor(const Table &table, const Listener &listener,
-                                        std::uint64_t after) const;
+    static std::optional<inner::NewsRow> rowFor(const Table &table, const Change &change,
+                                                const Listener &listener, std::uint64_t after,
+                                                std::map<std::string, std::uint64_t> &known);
+    static void fill(inner::TableNews &news, const Table &table, const Listener &listener,
+                     bool isNear);
     void chooseTellers();
     void follow(const std::string &address);
     void avoidSilentTellers(Duration limit);
@@ -169,6 +200,9 @@
 
     const Parts parts_;
     std::map<std::string, Table> tables_;
+    std::map<std::string, Awaited> awaited_;
+    // Tables that are being read from the service.
+    std::set<std::string> reading_;
     const decision::TellerOrder *candidates_ = nullptr;
     // Tellers that this host listens to, and when each was heard.
     std::map<std::string, Heard> tellers_;
--- a/src/inner/layout.h
+++ b/src/inner/layout.h
@@ -353,14 +353,15 @@
 {
     archive.records(m.tables, maxFollowedTables);
     archive.flag(m.withRows);
-    archive.flag(m.takesDifferences);
+    archive.flag(m.takesParts);
+    archive.flag(m.continues);
 }
 
 template <typename Archive, typename M>
 void layout(Archive &archive, M &m, const NewsRow &)
 {
     archive.text(m.key, maxNameBytes);
-    archive.text(m.value, maxTextBytes);
+    archive.text(m.value, maxSqlBytes);
     archive.number(m.version);
     archive.flag(m.removed);
     archive.number(m.differsFrom);
@@ -375,6 +376,7 @@
     archive.duration(m.serviceTime);
     archive.records(m.rows, maxNewsRows);
     archive.flag(m.leftOut);
+    archive.flag(m.isPart);
 }
 
 template <typename Archive, typename M>
