--- a/tests/group/serverlist_test.cpp
+++ b/tests/group/serverlist_test.cpp
@@ -21,7 +21,8 @@
     std::vector<ListedServer> servers;
     int changes = 0;
     Metrics metrics;
-    ServerList list {timers, log, metrics, [this](const GroupName &, const std::vector<ListedServer> &all) {
+    ServerList list {timers, log, metrics,
+                     [this](const GroupName &, const std::vector<ListedServer> &all) {
                          servers = all;
                          ++changes;
                      }};
