--- a/tests/host/fleetwork_test.cpp
+++ b/tests/host/fleetwork_test.cpp
@@ -502,3 +502,16 @@
         CHECK(!ownership.isAlone(host.nameOf(i)));
     }
 }
+
+// One look serves for all claims of a start, so its failure must not end them all.
+TEST_CASE("A host that starts again claims its groups though the first look fails")
+{
+    OwnerHost host(50);
+    host.rows.historyGone = true;
+    host.start();
+    host.timers.advance(200ms);
+    REQUIRE(host.ownership().owned().empty());
+    host.rows.historyGone = false;
+    host.timers.advance(2s);
+    CHECK(host.ownership().owned().size() == 50);
+}
