--- a/src/group/ownershipclaims.cpp
+++ b/src/group/ownershipclaims.cpp
@@ -206,8 +206,8 @@
     claimAgain(group, why);
 }
 
-// Whoever wanted an owner for a group without one does not ask again, nor does the row of an earlier
-// run come again.
+// Whoever wanted an owner for a group without one does not ask again, nor does the row of an
+// earlier run come again.
 void OwnershipTable::claimAgain(const GroupName &group, const std::string &why)
 {
     if (why == unowned || why == ahead || why == restarted)
