A row that can't be read goes on proving no lease

Cause: one question for all leases tells what has changed since the last one. A row that had become unreadable was passed over in the answer that told it, and the next answer, in which it had not changed again, prolonged its lease: an owner might have acted on past a claim that it could not read. Found by a test of a guard that had none. Change: rows that are gone or unreadable are remembered until a readable one comes; they prolong nothing and are not claimed over.

fleetwork_test, new case: failed before (the lease of the unreadable row was prolonged), passes now. world, regained, candidate and review tests pass.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -24,8 +24,8 @@
 OwnershipTable::OwnershipTable(const Parts &parts, OwnershipEvents &events)
     : parts_(parts), visits_(parts.metrics.visits("owners")), events_(events),
       follower_({parts.timers, parts.feed, parts.log}, table, feedWait,
-                {[this](const services::TableRow &row) { apply(row); }, [](const std::string &) {},
-                 [this] { onRead(); }})
+                {[this](const services::TableRow &row) { apply(row); },
+                 [this](const std::string &key) { unreadable_.insert(key); }, [this] { onRead(); }})
 { }
 
 void OwnershipTable::start()
@@ -77,11 +77,12 @@
                               if (!changes.ok())
                                   return callback(seen);
                               for (const services::RowChange &change : changes->changes) {
-                                  if (change.removed || !apply(change.row))
-                                      seen.unreadable.insert(change.row.key);
-                                  else
+                                  if (change.removed)
+                                      unreadable_.insert(change.row.key);
+                                  else if (apply(change.row))
                                       seen.changed[change.row.key] = change.row.etag;
                               }
+                              seen.unreadable = unreadable_;
                               if (asOf_)
                                   asOf_ = std::max(*asOf_, changes->next);
                               seen.serviceTime = changes->serviceTime.value_or(Duration(0));
@@ -127,8 +128,10 @@
         parts_.log.warning("owner_row_invalid")
             .with("group", row.key)
             .with("cause", record.status().message());
+        unreadable_.insert(row.key);
         return false;
     }
+    unreadable_.erase(row.key);
     applyRecord(row.key, *record, row.etag);
     return true;
 }
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -189,7 +189,7 @@
         Duration serviceTime {0};
         // Tags of the rows that have changed since the question before.
         std::map<GroupName, std::string> changed;
-        // Those of them that can't be read.
+        // Rows that can't be read, whenever they changed: they prove nothing.
         std::set<GroupName> unreadable;
     };
     struct Claim
@@ -282,6 +282,8 @@
     // Claims that are about to be made together.
     std::vector<Claim> dueClaims_;
     std::vector<Claim> aheadClaims_;
+    // Rows that are gone or can't be read as they are now.
+    std::set<GroupName> unreadable_;
     // The service itself has told all changes up to this version. Nothing while it is not known.
     std::optional<std::uint64_t> asOf_;
     bool claiming_ = true;
--- a/tests/host/fleetwork_test.cpp
+++ b/tests/host/fleetwork_test.cpp
@@ -515,3 +515,18 @@
     host.timers.advance(2s);
     CHECK(host.ownership().owned().size() == 50);
 }
+
+TEST_CASE("A row that can't be read prolongs no lease, and no other row's lease suffers")
+{
+    OwnerHost host(20);
+    host.start();
+    host.timers.advance(4s);
+    REQUIRE(host.ownership().owned().size() == 20);
+    host.rows.owners[host.nameOf(7)] = {host.nameOf(7), "no record",
+                                        std::to_string(++host.rows.version)};
+    host.timers.advance(3s);
+    for (const GroupName &group : host.ownership().owned()) {
+        const double left = toMilliseconds(host.ownership().leaseLeft(group));
+        CHECK((left > 9000) == (group != host.nameOf(7)));
+    }
+}
