Owner: answer requests that arrive while it starts

Symptom: a statement sent to an owner that has just been restarted got no answer; the caller waited for its own timeout, 20 s in the test (seen once in 949 runs of connections_test, in the run with 29 connections). Cause: the owner listens as soon as its links exist, but the inbox got the group directory by a task behind the events queued so far; events without a directory were dropped, requests and notices of peers alike. Change: the inbox keeps early events and passes them on, in order, once the directory is connected.

--- a/src/owner/ownerprocess.cpp
+++ b/src/owner/ownerprocess.cpp
@@ -72,8 +72,8 @@
                                                       makeServer, ownerMetrics_, self_,
                                                       settings_.host, settings_.zone});
     directory_ = std::make_unique<GroupDirectory>(*ports_);
+    inbox_.connect(links_.get(), directory_.get());
     boost::asio::post(groupsThread_.context(), [this] {
-        inbox_.connect(links_.get(), directory_.get());
         groupsThread_.timers().subscribeEvery(GroupRuntime::tickPeriod, [this] { tick(); });
         groupsThread_.timers().subscribeEvery(hostListPeriod, [this] { fetchHosts(); });
     });
@@ -86,7 +86,7 @@
         return;
     started_ = false;
     groupsThread_.stop();
-    inbox_.connect(nullptr, nullptr);
+    inbox_.disconnect();
     if (adminPeers_)
         adminPeers_->setLinks(nullptr);
     directory_.reset();
--- a/src/owner/peerinbox.cpp
+++ b/src/owner/peerinbox.cpp
@@ -2,6 +2,8 @@
 
 #include "owner/groupdirectory.h"
 
+#include <utility>
+
 namespace kelptally::owner {
 
 PeerInbox::PeerInbox(DutyThread &groupsThread, std::size_t capacity, OwnerMetrics &metrics)
@@ -12,7 +14,17 @@
 void PeerInbox::connect(inner::PeerLinks *links, GroupDirectory *directory)
 {
     links_ = links;
-    directory_ = directory;
+    boost::asio::post(groupsThread_.context(), [this, directory] {
+        directory_ = directory;
+        for (Event &event : std::exchange(earlyEvents_, {}))
+            handle(std::move(event));
+    });
+}
+
+void PeerInbox::disconnect()
+{
+    links_ = nullptr;
+    directory_ = nullptr;
 }
 
 void PeerInbox::onPeerUp(inner::LinkId link, const inner::Hello &peer)
@@ -65,15 +77,14 @@
 
 void PeerInbox::handle(Event &&event)
 {
-    GroupDirectory *directory = directory_;
-    if (!directory)
-        return;
-    if (const auto *hello = std::get_if<inner::Hello>(&event.payload))
-        directory->onPeerUp(event.link, *hello);
+    if (!directory_)
+        earlyEvents_.push_back(std::move(event));
+    else if (const auto *hello = std::get_if<inner::Hello>(&event.payload))
+        directory_->onPeerUp(event.link, *hello);
     else if (auto *message = std::get_if<inner::Message>(&event.payload))
-        directory->onMessage(event.link, std::move(*message));
+        directory_->onMessage(event.link, std::move(*message));
     else
-        directory->onPeerDown(event.link);
+        directory_->onPeerDown(event.link);
 }
 
 } // namespace kelptally::owner
--- a/src/owner/peerinbox.h
+++ b/src/owner/peerinbox.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <functional>
 #include <variant>
+#include <vector>
 
 namespace kelptally::owner {
 
@@ -20,8 +21,11 @@
 public:
     PeerInbox(DutyThread &groupsThread, std::size_t capacity, OwnerMetrics &metrics);
 
-    // Sets the receivers of refusals and events. Must be called before the first link is made.
+    // Sets the receivers of refusals and events. Events that arrived earlier are handled then, as
+    // the links receive before the directory exists.
     void connect(inner::PeerLinks *links, GroupDirectory *directory);
+    // Must be called after the groups thread has stopped.
+    void disconnect();
 
     // Sets the receiver of configuration and operator messages. Must be called before the first
     // link is made.
@@ -46,7 +50,9 @@
 
     OwnerMetrics &metrics_;
     std::atomic<inner::PeerLinks *> links_ {nullptr};
-    std::atomic<GroupDirectory *> directory_ {nullptr};
+    // Used on the groups thread.
+    GroupDirectory *directory_ = nullptr;
+    std::vector<Event> earlyEvents_;
     admin::AdminPeers *adminPeers_ = nullptr;
     DutyThread &groupsThread_;
     Inbox<Event> inbox_;
--- a/tests/owner/failoverdriver_test.cpp
+++ b/tests/owner/failoverdriver_test.cpp
@@ -1,3 +1,5 @@
+#include "fakeports.h"
+
 #include "core/manualtimerservice.h"
 #include "owner/failoverdriver.h"
 #include "owner/ownermetrics.h"
@@ -82,23 +84,6 @@
     return result;
 }
 
-struct NoLinks : public inner::PeerLinks
-{
-    void connect(const std::string &) override { }
-    void drop(const std::string &) override { }
-    void renew(const std::string &) override { }
-    inner::LinkId linkTo(const std::string &) override { return 0; }
-    absl::Status sendTo(const std::string &, inner::Message) override { return {}; }
-    absl::Status sendOn(inner::LinkId, inner::Message) override { return {}; }
-};
-
-struct NoTable : public services::TableService
-{
-    void read(const std::string &, const std::string &, services::RowCallback) override { }
-    void list(const std::string &, const std::string &, services::RowsCallback) override { }
-    void write(std::vector<services::ConditionalWrite>, services::WriteCallback) override { }
-};
-
 // A driver with servers a, b and c; a is primary in term 2.
 struct Fixture : public FailoverListener
 {
