Backend: a destroyed pool closes connections with a running batch

Symptom: 29 connections to a server that allows 25, after two crashes of owners 0.14 s apart (once in 949 runs of connections_test). Cause: a running batch and its connection hold each other; ~ConnectionPool closed idle connections only. An owner stopped inside the process left one connection per busy slot and server, which counted beside those of its successor. The kernel closes them when a process ends, so that callers of kelptally-owner did not meet this; tests and programs that restart an owner inside themselves did. Change: the pool knows the connections that it resets, and closes all connections when it is destroyed.

--- a/src/backend/connectionpool.cpp
+++ b/src/backend/connectionpool.cpp
@@ -101,11 +101,16 @@
         timers_.cancel(waiter.timer);
     for (const IdleConnection &idle : idle_)
         idle.connection->close();
+    // A connection with a running batch would never be freed, as the batch's callback refers to it.
+    for (const auto &[pooled, raw] : std::exchange(borrowed_, {}))
+        raw->close();
+    for (const RawConnection &raw : std::exchange(resetting_, {}))
+        raw->close();
 }
 
 int ConnectionPool::counted() const
 {
-    return inUse() + idle() + opening_ + resetting_ + closing_;
+    return inUse() + idle() + opening_ + resetting() + closing_;
 }
 
 ConnectionPool::RequestId ConnectionPool::acquire(Instant deadline, ConnectCallback callback)
@@ -194,13 +199,13 @@
         return addIdle(connection);
     Statement next = std::move(statements.back());
     statements.pop_back();
-    ++resetting_;
+    resetting_.insert(connection);
     auto done = [weak = weak_from_this(), connection, generation = generation_,
                  statements = std::move(statements)](const BatchResult &result) mutable {
         const auto self = weak.lock();
         if (!self)
             return connection->close();
-        --self->resetting_;
+        self->resetting_.erase(connection);
         if (result.state == BatchState::Done && !result.inTransaction
             && generation == self->generation_)
             self->reset(connection, std::move(statements));
@@ -259,7 +264,7 @@
 {
     if (timers_.now() < nextConnectAt_)
         return;
-    while (counted() < options_.limit && inUse() + idle() + opening_ + resetting_ < targetSize())
+    while (counted() < options_.limit && inUse() + idle() + opening_ + resetting() < targetSize())
         open();
 }
 
--- a/src/backend/connectionpool.h
+++ b/src/backend/connectionpool.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <random>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace kelptally::backend {
@@ -48,6 +49,7 @@
 
     ConnectionPool(TimerService &timers, std::shared_ptr<BackendServer> server,
                    PoolOptions options);
+    // Closes all connections. Running batches end as Unknown.
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool &) = delete;
     ConnectionPool &operator=(const ConnectionPool &) = delete;
@@ -76,6 +78,7 @@
     // Number of connections counted against the limit.
     int counted() const;
     int inUse() const { return static_cast<int>(borrowed_.size()); }
+    int resetting() const { return static_cast<int>(resetting_.size()); }
     int idle() const { return static_cast<int>(idle_.size()); }
     int closing() const { return closing_; }
     int waiting() const { return static_cast<int>(waiting_.size()); }
@@ -129,7 +132,7 @@
     std::unordered_map<PooledConnection *, RawConnection> borrowed_;
     std::deque<Waiter> waiting_;
     int opening_ = 0;
-    int resetting_ = 0;
+    std::unordered_set<RawConnection> resetting_;
     int closing_ = 0;
     // Incremented by closeAll(): connections of earlier generations are not reused.
     std::uint64_t generation_ = 0;
--- a/tests/backend/connectionpool_test.cpp
+++ b/tests/backend/connectionpool_test.cpp
@@ -369,3 +369,21 @@
     }
     CHECK(fixture.server->connections.size() > 20);
 }
+
+// A batch and its connection hold each other, so that a connection that the pool does not close
+// stays open, and counts at the server, until the process ends.
+TEST_CASE("destroying the pool closes connections in use and connections being reset")
+{
+    PoolFixture fixture;
+    const auto inUse = fixture.acquireNewConnection();
+    inUse->run({{"SELECT 1", {}}}, [inUse](const BatchResult &) {});
+    const auto changed = fixture.acquireNewConnection();
+    const auto raw = fixture.server->connections.at(1);
+    PoolFixture::runDone(*changed, *raw, "SET a = 1");
+    fixture.pool->release(changed, true);
+    REQUIRE(raw->busy());
+    fixture.server->acceptAll();
+
+    fixture.pool.reset();
+    CHECK(fixture.server->counted() == 0);
+}
--- a/tests/owner/ownercluster.cpp
+++ b/tests/owner/ownercluster.cpp
@@ -198,6 +198,16 @@
     return peak;
 }
 
+int OwnerCluster::openConnections()
+{
+    int open = 0;
+    for (const auto &server : database_.servers())
+        server->callAndWait([&open](standin::DatabaseServer &databaseServer) {
+            open += databaseServer.state().connections;
+        });
+    return open;
+}
+
 void OwnerCluster::kill(const ServerName &server)
 {
     database_.find(server)->callAndWait(
--- a/tests/owner/ownercluster.h
+++ b/tests/owner/ownercluster.h
@@ -41,6 +41,8 @@
 
     // Returns the highest number of connections that any server had open at the same time.
     int peakConnections();
+    // Returns the number of connections that are open at all servers.
+    int openConnections();
     // Waits for a primary and returns the name of the one with the highest term; empty on timeout.
     std::string primary();
     void kill(const ServerName &server);
--- /dev/null
+++ b/tests/owner/ownerstop_test.cpp
@@ -0,0 +1,94 @@
+#include "ownercluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace kelptally;
+using namespace kelptally::owner;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration closeTimeout = 1s;
+
+// Runs transactions from several entries until destroyed.
+class TransactionLoad
+{
+public:
+    TransactionLoad(const std::vector<std::string> &owners, int entries)
+    {
+        for (int i = 0; i < entries; ++i)
+            threads_.emplace_back([this, owners] { run(owners); });
+    }
+    ~TransactionLoad()
+    {
+        stopping_ = true;
+        for (std::thread &thread : threads_)
+            thread.join();
+    }
+
+    int completed() const { return completed_; }
+
+private:
+    void run(const std::vector<std::string> &owners)
+    {
+        TestEntry entry(owners);
+        while (!stopping_) {
+            inner::Execute step = OwnerCluster::write("");
+            step.step = inner::StatementStep::Begin;
+            const auto begun = entry.tryOnce(owners.front(), step);
+            if (!begun || begun->reason != Reason::None) {
+                std::this_thread::sleep_for(2ms);
+                continue;
+            }
+            step = OwnerCluster::write("SELECT count(*) FROM offer");
+            step.step = inner::StatementStep::InTransaction;
+            step.transaction = begun->transaction;
+            entry.tryOnce(owners.front(), step);
+            step = OwnerCluster::write("");
+            step.step = inner::StatementStep::Rollback;
+            step.transaction = begun->transaction;
+            if (const auto done = entry.tryOnce(owners.front(), step))
+                completed_ += done->reason == Reason::None;
+        }
+    }
+
+    std::atomic<bool> stopping_ {false};
+    std::atomic<int> completed_ {0};
+    std::vector<std::thread> threads_;
+};
+
+bool hasNoConnections(OwnerCluster &cluster)
+{
+    const Instant end = BootClock::now() + closeTimeout;
+    while (cluster.openConnections() > 0) {
+        if (BootClock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(5ms);
+    }
+    return true;
+}
+
+} // namespace
+
+// Connections that a stopped owner left open counted at the servers beside those of its successor.
+TEST_CASE("An owner that is stopped under load leaves no connection to the servers")
+{
+    OwnerCluster cluster(1);
+    const std::string owner = cluster.addresses().front();
+    const TransactionLoad load(cluster.addresses(), 20);
+    for (int round = 0; round < 5; ++round) {
+        REQUIRE(cluster.waitForServingOwner() == owner);
+        const int before = load.completed();
+        const Instant end = BootClock::now() + 10s;
+        while (load.completed() < before + 20 && BootClock::now() < end)
+            std::this_thread::sleep_for(1ms);
+        REQUIRE(load.completed() >= before + 20);
+        cluster.crash(owner);
+        INFO("round " << round << ", " << cluster.openConnections() << " connections");
+        CHECK(hasNoConnections(cluster));
+        cluster.restart(owner);
+    }
+}
