Tests: each process listens on a loopback address of its own

Cause: a port drawn by one process was given to another before its user listened. Change: tests draw ports of a loopback address derived from the process id.

No functional change

--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -62,7 +62,7 @@
     explicit HttpClient(int port) : socket_(context_)
     {
         socket_.connect(
-            {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)});
+            {boost::asio::ip::make_address(loopbackAddress()), static_cast<std::uint16_t>(port)});
     }
 
     void post(const std::string &kind)
@@ -99,11 +99,10 @@
     settings::ProcessSettings settings;
     settings.host = "host";
     settings.zone = "ebene";
-    settings.address = "127.0.0.1";
-    const std::string address = inner::freeAddress();
-    settings.peerPort = std::stoi(address.substr(address.find(':') + 1));
+    settings.address = loopbackAddress();
+    settings.peerPort = takeFreePort();
     // Nothing listens there: the store is unavailable throughout.
-    settings.tableService = inner::freeAddress();
+    settings.tableService = takeFreeAddress();
     settings.peerKey = "peer key";
     settings.tokenKey = tokenKey;
     return settings;
@@ -133,7 +132,7 @@
         admin.stop();
     }
 
-    const std::string ownerAddress = inner::freeAddress();
+    const std::string ownerAddress = takeFreeAddress();
     FakeOwner owner {ownerAddress};
     DutyThread admin {"admin"};
     admin::AdminPeers adminPeers {admin};
--- a/tests/inner/linkfixtures.h
+++ b/tests/inner/linkfixtures.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "freeport.h"
 #include "inner/websocketlinks.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -17,14 +18,6 @@
 
 constexpr auto waitTimeout = std::chrono::seconds(30);
 
-inline std::string freeAddress()
-{
-    using boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
-    return "127.0.0.1:" + std::to_string(tcp::acceptor(context, any).local_endpoint().port());
-}
-
 // Records all events of a process's links.
 class RecordedEvents : public PeerEvents
 {
--- a/tests/inner/peerlinks_test.cpp
+++ b/tests/inner/peerlinks_test.cpp
@@ -35,8 +35,10 @@
 
 tcp::endpoint endpointOf(const std::string &address)
 {
-    const int port = std::stoi(address.substr(address.find(':') + 1));
-    return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)};
+    const std::size_t colon = address.find(':');
+    const int port = std::stoi(address.substr(colon + 1));
+    return {boost::asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(port)};
 }
 
 // A bare TCP connection to a peer endpoint.
@@ -182,8 +184,8 @@
 
 TEST_CASE("Messages arrive in order in both directions")
 {
-    Process a(linkOptions(freeAddress(), 11));
-    Process b(linkOptions(freeAddress(), 22));
+    Process a(linkOptions(takeFreeAddress(), 11));
+    Process b(linkOptions(takeFreeAddress(), 22));
     REQUIRE(a.links);
     REQUIRE(b.links);
     CHECK(a.links->sendTo(b.options.self.address, Locate()).code()
@@ -214,7 +216,7 @@
 
 TEST_CASE("A process can link to itself")
 {
-    Process self(linkOptions(freeAddress()));
+    Process self(linkOptions(takeFreeAddress()));
     REQUIRE(self.links);
     self.links->connect(self.options.self.address);
     REQUIRE(self.events.waitForUps(2));
@@ -225,8 +227,8 @@
 
 TEST_CASE("A link is reopened after the peer was replaced")
 {
-    Process a(linkOptions(freeAddress()));
-    const std::string address = freeAddress();
+    Process a(linkOptions(takeFreeAddress()));
+    const std::string address = takeFreeAddress();
     auto b = std::make_unique<Process>(linkOptions(address, 1));
     REQUIRE(b->links);
     a.links->connect(address);
@@ -251,11 +253,11 @@
 
 TEST_CASE("Both ends close a silent link and keep an idle one")
 {
-    PeerLinkOptions options = linkOptions(freeAddress());
+    PeerLinkOptions options = linkOptions(takeFreeAddress());
     options.silenceTimeout = std::chrono::milliseconds(2000);
     Process a(options);
-    const std::string relayed = freeAddress();
-    options = linkOptions(freeAddress());
+    const std::string relayed = takeFreeAddress();
+    options = linkOptions(takeFreeAddress());
     options.self.address = relayed;
     options.silenceTimeout = std::chrono::milliseconds(2000);
     Process b(options);
@@ -286,9 +288,9 @@
 
 TEST_CASE("A silent link is replaced by a new one without a gap")
 {
-    Process a(linkOptions(freeAddress()));
-    const std::string relayed = freeAddress();
-    PeerLinkOptions options = linkOptions(freeAddress());
+    Process a(linkOptions(takeFreeAddress()));
+    const std::string relayed = takeFreeAddress();
+    PeerLinkOptions options = linkOptions(takeFreeAddress());
     options.self.address = relayed;
     Process b(options);
     Relay relay(relayed, options.listenAddress);
@@ -316,9 +318,9 @@
 // Returns the time until a link opens whose peer drops everything for the first 300 ms.
 std::chrono::steady_clock::duration timeToOpen(bool renewed)
 {
-    Process a(linkOptions(freeAddress()));
-    const std::string relayed = freeAddress();
-    PeerLinkOptions options = linkOptions(freeAddress());
+    Process a(linkOptions(takeFreeAddress()));
+    const std::string relayed = takeFreeAddress();
+    PeerLinkOptions options = linkOptions(takeFreeAddress());
     options.self.address = relayed;
     Process b(options);
     Relay relay(relayed, options.listenAddress);
@@ -344,9 +346,9 @@
 
 TEST_CASE("A renewal without an answer has no effect")
 {
-    Process a(linkOptions(freeAddress()));
+    Process a(linkOptions(takeFreeAddress()));
     {
-        Process b(linkOptions(freeAddress()));
+        Process b(linkOptions(takeFreeAddress()));
         a.links->renew(b.options.self.address);
         a.links->connect(b.options.self.address);
         REQUIRE(a.events.waitForUps(1));
@@ -358,8 +360,8 @@
 
 TEST_CASE("A link with two users stays open until both have dropped it")
 {
-    Process a(linkOptions(freeAddress()));
-    Process b(linkOptions(freeAddress()));
+    Process a(linkOptions(takeFreeAddress()));
+    Process b(linkOptions(takeFreeAddress()));
     const std::string address = b.options.self.address;
     a.links->connect(address);
     a.links->connect(address);
@@ -375,10 +377,10 @@
 
 TEST_CASE("Messages sent before a shutdown arrive")
 {
-    Process b(linkOptions(freeAddress()));
+    Process b(linkOptions(takeFreeAddress()));
     constexpr std::size_t count = 500;
     {
-        Process a(linkOptions(freeAddress()));
+        Process a(linkOptions(takeFreeAddress()));
         a.links->connect(b.options.self.address);
         REQUIRE(a.events.waitForUps(1));
         for (std::size_t i = 0; i < count; ++i)
@@ -403,17 +405,17 @@
     {
         // A peer that accepts and never answers the upgrade.
         boost::asio::io_context context;
-        tcp::acceptor mute(context, endpointOf(freeAddress()));
+        const std::string muteAddress = takeFreeAddress();
+        tcp::acceptor mute(context, endpointOf(muteAddress));
         // A peer that stops answering once the link is up.
         DutyThread stoppedThread("stopped");
-        PeerLinkOptions options = linkOptions(freeAddress());
+        PeerLinkOptions options = linkOptions(takeFreeAddress());
         options.thread = &stoppedThread;
         Process stopped(options);
         stoppedThread.start();
 
-        Process process(linkOptions(freeAddress()));
-        const auto port = std::to_string(mute.local_endpoint().port());
-        process.links->connect("127.0.0.1:" + port);
+        Process process(linkOptions(takeFreeAddress()));
+        process.links->connect(muteAddress);
         process.links->connect(options.listenAddress);
         REQUIRE(process.events.waitForUps(1));
         tcp::socket opening = mute.accept();
@@ -428,9 +430,9 @@
 TEST_CASE("A wrong key, version or process is refused and counted")
 {
     Metrics metrics;
-    PeerLinkOptions acceptor = linkOptions(freeAddress());
+    PeerLinkOptions acceptor = linkOptions(takeFreeAddress());
     acceptor.metrics = &metrics;
-    PeerLinkOptions connector = linkOptions(freeAddress());
+    PeerLinkOptions connector = linkOptions(takeFreeAddress());
     Metrics connectorMetrics;
     connector.metrics = &connectorMetrics;
 
@@ -469,7 +471,7 @@
 TEST_CASE("An unauthenticated end can't send messages or large frames, or stay connected")
 {
     Metrics metrics;
-    PeerLinkOptions options = linkOptions(freeAddress());
+    PeerLinkOptions options = linkOptions(takeFreeAddress());
     options.metrics = &metrics;
     options.handshakeTimeout = std::chrono::milliseconds(300);
     Process process(options);
@@ -521,8 +523,8 @@
 
 TEST_CASE("A message over the limit is refused by its sender, and the link stays open")
 {
-    Process a(linkOptions(freeAddress()));
-    Process b(linkOptions(freeAddress()));
+    Process a(linkOptions(takeFreeAddress()));
+    Process b(linkOptions(takeFreeAddress()));
     a.links->connect(b.options.self.address);
     REQUIRE(a.events.waitForUps(1));
     ConfigAnswer large {1, 1, std::string(maxFrameBytes, 'x')};
@@ -535,10 +537,10 @@
 
 TEST_CASE("A full send buffer refuses messages until it has drained")
 {
-    PeerLinkOptions small = linkOptions(freeAddress());
+    PeerLinkOptions small = linkOptions(takeFreeAddress());
     small.sendBufferBytes = 100;
     Process a(small);
-    Process b(linkOptions(freeAddress()));
+    Process b(linkOptions(takeFreeAddress()));
     a.links->connect(b.options.self.address);
     REQUIRE(a.events.waitForUps(1));
     const Locate large {1, std::string(120, 'g')};
@@ -553,12 +555,12 @@
 TEST_CASE("Links need a key and a free address")
 {
     RecordedEvents events;
-    PeerLinkOptions options = linkOptions(freeAddress());
+    PeerLinkOptions options = linkOptions(takeFreeAddress());
     options.peerKey.clear();
     CHECK(makePeerLinks(options, events).status().code() == absl::StatusCode::kInvalidArgument);
     options = linkOptions("not an address");
     CHECK(makePeerLinks(options, events).status().code() == absl::StatusCode::kInvalidArgument);
-    Process first(linkOptions(freeAddress()));
+    Process first(linkOptions(takeFreeAddress()));
     REQUIRE(first.links);
     CHECK_FALSE(makePeerLinks(first.options, events).ok());
 }
--- a/tests/owner/ownercluster.cpp
+++ b/tests/owner/ownercluster.cpp
@@ -56,7 +56,7 @@
         group.servers.push_back(inventoryServer(*server));
     inventory_.groups.push_back(group);
     for (int i = 0; i < owners; ++i) {
-        addresses_.push_back("127.0.0.1:" + std::to_string(takeFreePort()));
+        addresses_.push_back(takeFreeAddress());
         settings::Host host;
         host.name = "host" + std::to_string(i);
         host.zone = i % 2 == 0 ? "umea-a" : "sundsvall-a";
@@ -92,7 +92,7 @@
     const std::string &address = addresses_[index];
     settings.host = inventory_.hosts[index].name;
     settings.zone = inventory_.hosts[index].zone;
-    settings.address = "127.0.0.1";
+    settings.address = address.substr(0, address.find(':'));
     settings.peerPort = std::stoi(address.substr(address.find(':') + 1));
     settings.peerKey = testPeerKey;
     const std::string platform = "127.0.0.1:" + std::to_string(platform_->port());
--- a/tests/owner/ownermeasure.cpp
+++ b/tests/owner/ownermeasure.cpp
@@ -225,7 +225,7 @@
     Load(std::string owner, inner::Execute execute) : owner_(std::move(owner)), execute_(execute)
     {
         inner::PeerLinkOptions options;
-        options.listenAddress = "127.0.0.1:" + std::to_string(takeFreePort());
+        options.listenAddress = takeFreeAddress();
         options.self = {options.listenAddress, 1};
         options.host = "load";
         options.zone = "lulea-a";
--- a/tests/owner/ownerstart_test.cpp
+++ b/tests/owner/ownerstart_test.cpp
@@ -23,7 +23,7 @@
     explicit EagerEntry(const std::string &owner)
     {
         inner::PeerLinkOptions options;
-        options.listenAddress = "127.0.0.1:" + std::to_string(takeFreePort());
+        options.listenAddress = takeFreeAddress();
         options.self = {options.listenAddress, 1};
         options.host = "test";
         options.zone = "lulea-a";
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -1,6 +1,7 @@
 #include "admin/ctlcommands.h"
 #include "core/digest.h"
 #include "fakeplatform.h"
+#include "freeport.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read_until.hpp>
@@ -12,7 +13,6 @@
 #include <cstdio>
 #include <fcntl.h>
 #include <fstream>
-#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
@@ -27,27 +27,13 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-// Returns a free port that was not returned before, as the system may offer a closed port again.
-int freePort()
-{
-    static std::set<int> drawn;
-    for (;;) {
-        boost::asio::io_context context;
-        const Tcp::acceptor acceptor(context,
-                                     Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-        const int port = acceptor.local_endpoint().port();
-        if (drawn.insert(port).second)
-            return port;
-    }
-}
-
 // A caller's connection.
 class Caller
 {
 public:
     explicit Caller(int port) : socket_(context_)
     {
-        socket_.connect(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+        socket_.connect(Tcp::endpoint(boost::asio::ip::make_address(loopbackAddress()),
                                       static_cast<std::uint16_t>(port)));
     }
 
@@ -169,9 +155,9 @@
 public:
     FakeStore store {thread_};
     FakeServer server {thread_, "i-1"};
-    const int callerPort = freePort();
-    const int readinessPort = freePort();
-    const int adminPort = freePort();
+    const int callerPort = takeFreePort();
+    const int readinessPort = takeFreePort();
+    const int adminPort = takeFreePort();
     pid_t process = 0;
 
     static constexpr const char *operatorKey = "the operators' own key";
@@ -181,8 +167,9 @@
     {
         // Replaces the file atomically, as the platform does.
         std::ofstream(file_ + ".new")
-            << "[process]\nhost=h-1\nzone=z\naddress=127.0.0.1\npeer-port=" << peerPort_
-            << "\ncallers=127.0.0.1:" << callerPort << "\nreadiness=127.0.0.1:" << readinessPort
+            << "[process]\nhost=h-1\nzone=z\naddress=" << loopbackAddress()
+            << "\npeer-port=" << peerPort_ << "\ncallers=" << loopbackAddress() << ":" << callerPort
+            << "\nreadiness=" << loopbackAddress() << ":" << readinessPort
             << "\nadmin-port=" << adminPort
             << "\ngrace=5s\n[platform]\nstore=127.0.0.1:" << store.port()
             << "\npromotions=127.0.0.1:" << store.port()
@@ -195,7 +182,7 @@
     admin::ProxyClient operatorClient(const std::string &key = operatorKey)
     {
         admin::ProxyOptions options;
-        options.proxies = {"127.0.0.1:" + std::to_string(adminPort)};
+        options.proxies = {loopbackAddress() + ":" + std::to_string(adminPort)};
         options.key = key;
         options.timeout = 5s;
         return admin::ProxyClient(options);
@@ -218,7 +205,7 @@
         process = spawn(file_, {}, output);
     }
 
-    const int peerPort_ = freePort();
+    const int peerPort_ = takeFreePort();
     const std::string file_ = settingsFile(std::to_string(callerPort));
 
     void waitUntilReady()
