Owner: a request cancelled during its BEGIN no longer blocks draining

Symptom: after a planned stop began, the owner never was drained and the stop took the whole grace time, once any caller had disconnected while the BEGIN of its transaction ran. Change: it is refused as not run. Found by reading, while a request without an answer was traced.

--- a/src/owner/transactionrunner.cpp
+++ b/src/owner/transactionrunner.cpp
@@ -242,7 +242,7 @@
     pinned_[step->id->number] = {*step->id, connection, step->server, step->term};
     if (step->request->answered || step->request->cancelled) {
         end(*step->id, Reason::TransactionEnded, true);
-        steps_.erase(step->request->number);
+        refuse(step, {Reason::TransactionEnded, "", Executed::No, Duration(0), ""});
         return;
     }
     transactions_->leave(context_.now(), *step->id);
--- a/tests/owner/ownerstop_test.cpp
+++ b/tests/owner/ownerstop_test.cpp
@@ -1,3 +1,4 @@
+#include "../inner/linkfixtures.h"
 #include "ownercluster.h"
 
 #include <catch2/catch.hpp>
@@ -60,6 +61,25 @@
     std::vector<std::thread> threads_;
 };
 
+// Starts a transaction and disconnects while its BEGIN is running.
+void beginAndDisconnect(OwnerCluster &cluster, const std::string &owner)
+{
+    inner::PeerLinkOptions options = inner::linkOptions(takeFreeAddress());
+    options.peerKey = testPeerKey;
+    inner::Process caller(options);
+    caller.links->connect(owner);
+    REQUIRE(caller.events.waitForUps(1));
+    const std::string primary = cluster.primary();
+    cluster.pauseServer(primary, true);
+    inner::Execute begin = OwnerCluster::write("");
+    begin.step = inner::StatementStep::Begin;
+    REQUIRE(caller.links->sendTo(owner, begin).ok());
+    std::this_thread::sleep_for(50ms);
+    caller.links.reset();
+    std::this_thread::sleep_for(50ms);
+    cluster.pauseServer(primary, false);
+}
+
 bool hasNoConnections(OwnerCluster &cluster)
 {
     const Instant end = BootClock::now() + closeTimeout;
@@ -92,3 +112,18 @@
         cluster.restart(owner);
     }
 }
+
+// A transaction whose caller disconnected during its BEGIN stayed counted as a request in progress,
+// so that the owner never finished draining.
+TEST_CASE("An owner drains after a caller disconnected during BEGIN")
+{
+    OwnerCluster cluster(2);
+    const std::string owner = cluster.waitForServingOwner();
+    REQUIRE(cluster.waitForSuccessors(1));
+    beginAndDisconnect(cluster, owner);
+    cluster.owner(owner).drain();
+    const Instant end = BootClock::now() + 10s;
+    while (!cluster.owner(owner).drained() && BootClock::now() < end)
+        std::this_thread::sleep_for(5ms);
+    CHECK(cluster.owner(owner).drained());
+}
