Owner: keep the pool of a changed server until its statements have ended

Cause: the executor and its pool were destroyed when the configuration came, with statements running on borrowed connections. Change: such executors open no connection and are kept until the last one has closed.

--- a/src/owner/groupruntime.cpp
+++ b/src/owner/groupruntime.cpp
@@ -74,6 +74,7 @@
     writes_.expire();
     transactions_.expire();
     servers_.forEachExecutor([](ServerExecutor &executor) { executor.expire(); });
+    servers_.dropRetired();
     updateHeldRequests();
     // 4. Hand-over and background work.
     updateReserve();
--- a/src/owner/groupservers.cpp
+++ b/src/owner/groupservers.cpp
@@ -65,7 +65,18 @@
         executor->refuseAll({Reason::Draining, Duration(0),
                              "server was removed or its address or credentials changed", true});
         executor->closeConnections(false);
+        executor->setConnectionLimit(0);
+        retired_.push_back(executor);
     }
+    dropRetired();
+}
+
+void GroupServers::dropRetired()
+{
+    const auto unused = std::remove_if(retired_.begin(), retired_.end(), [](const auto &executor) {
+        return executor->openConnections() == 0;
+    });
+    retired_.erase(unused, retired_.end());
 }
 
 ServerExecutor *GroupServers::executor(const ServerName &name)
--- a/src/owner/groupservers.h
+++ b/src/owner/groupservers.h
@@ -48,6 +48,8 @@
     inner::ServerStatus status(const ServerName &name, Instant now) const;
     const decision::Freshness &freshness() const { return freshness_; }
     const std::optional<ServerName> &primary() const { return primary_; }
+    // Frees the executors of removed servers whose last statement has ended.
+    void dropRetired();
 
     template <typename Function>
     void forEachExecutor(Function function)
@@ -86,6 +88,8 @@
     OwnerPorts &ports_;
     settings::Group group_;
     std::map<ServerName, Server> servers_;
+    // Executors of removed or changed servers, kept until their running statements have ended.
+    std::vector<std::shared_ptr<ServerExecutor>> retired_;
     decision::Freshness freshness_;
     std::optional<ServerName> primary_;
     // Upper bound of the positions of acknowledged writes. Unset until the primary's first report
--- a/tests/owner/owner_test.cpp
+++ b/tests/owner/owner_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <set>
+#include <thread>
 
 using namespace kelptally;
 using namespace kelptally::owner;
@@ -380,3 +381,32 @@
     const auto reused = cluster.entry().execute(write);
     REQUIRE(reused.reason == Reason::KeyReused);
 }
+
+// The connections of a removed or changed server were aborted together with their statements.
+TEST_CASE("A statement that runs while the credentials of its server change is answered")
+{
+    OwnerCluster cluster(1);
+    cluster.waitForServingOwner();
+    inner::Execute step = OwnerCluster::write("");
+    step.step = inner::StatementStep::Begin;
+    const auto begun = cluster.entry().execute(step);
+    REQUIRE(begun.reason == Reason::None);
+
+    cluster.pauseServer("a", true);
+    inner::ExecuteResult result;
+    std::thread caller([&] {
+        step = insertOffer("one");
+        step.step = inner::StatementStep::InTransaction;
+        step.transaction = begun.transaction;
+        result = cluster.entry().tryOnce(cluster.addresses().front(), step).value();
+    });
+    std::this_thread::sleep_for(50ms);
+    settings::Inventory changed = cluster.inventory();
+    changed.groups.front().password = "new password";
+    cluster.install(2, changed);
+    std::this_thread::sleep_for(50ms);
+    cluster.pauseServer("a", false);
+    caller.join();
+    INFO(reasonInfo(result.reason).name << ' ' << result.detail);
+    CHECK(result.reason == Reason::None);
+}
