Backend: abort a reset that the server does not answer

Symptom: once a connection went silent while it was reset between two users, its place in the pool was lost; with a limit of one, all later requests waited until their deadline. Cause: only connections in use were checked against the maximum run time. Change: resets are checked, too. Found by reading.

--- a/src/backend/connectionpool.cpp
+++ b/src/backend/connectionpool.cpp
@@ -104,7 +104,7 @@
     // A connection with a running batch would never be freed, as the batch's callback refers to it.
     for (const auto &[pooled, raw] : std::exchange(borrowed_, {}))
         raw->close();
-    for (const RawConnection &raw : std::exchange(resetting_, {}))
+    for (const auto &[raw, since] : std::exchange(resetting_, {}))
         raw->close();
 }
 
@@ -199,7 +199,7 @@
         return addIdle(connection);
     Statement next = std::move(statements.back());
     statements.pop_back();
-    resetting_.insert(connection);
+    resetting_.emplace(connection, timers_.now());
     auto done = [weak = weak_from_this(), connection, generation = generation_,
                  statements = std::move(statements)](const BatchResult &result) mutable {
         const auto self = weak.lock();
@@ -412,6 +412,9 @@
     for (const auto &[pooled, raw] : borrowed_)
         if (raw->busy() && now - pooled->session_->batchSince > options_.maxBatchTime)
             late.push_back(raw);
+    for (const auto &[raw, since] : resetting_)
+        if (now - since > options_.maxBatchTime)
+            late.push_back(raw);
     for (const RawConnection &raw : late)
         raw->close();
 }
--- a/src/backend/connectionpool.h
+++ b/src/backend/connectionpool.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <random>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace kelptally::backend {
@@ -26,8 +25,8 @@
     // Connections kept ready above the recent demand; see docs/design/pools.md.
     int spare = 1;
     Duration connectTimeout {std::chrono::seconds(1)};
-    // Maximum run time of a batch, after which it is aborted with its connection, as the server may
-    // be unreachable. Must exceed any request's deadline.
+    // Maximum run time of a batch or a reset, after which it is aborted with its connection, as the
+    // server may be unreachable. Must exceed any request's deadline.
     Duration maxBatchTime {std::chrono::seconds(60)};
     // Idle connections above the target size are closed after this time.
     Duration maxIdleTime {std::chrono::seconds(30)};
@@ -132,7 +131,8 @@
     std::unordered_map<PooledConnection *, RawConnection> borrowed_;
     std::deque<Waiter> waiting_;
     int opening_ = 0;
-    std::unordered_set<RawConnection> resetting_;
+    // With the start of the reset.
+    std::unordered_map<RawConnection, Instant> resetting_;
     int closing_ = 0;
     // Incremented by closeAll(): connections of earlier generations are not reused.
     std::uint64_t generation_ = 0;
--- a/tests/backend/connectionpool_test.cpp
+++ b/tests/backend/connectionpool_test.cpp
@@ -164,6 +164,28 @@
     CHECK(*state == BatchState::Unknown);
 }
 
+// A connection may go silent for good; one that was being reset took its place in the pool with it.
+TEST_CASE("a reset that exceeds the maximum run time is aborted")
+{
+    PoolOptions options = PoolFixture::defaults();
+    options.limit = 1;
+    options.maxBatchTime = seconds(5);
+    PoolFixture fixture(options);
+    const auto connection = fixture.acquireNewConnection();
+    PoolFixture::runDone(*connection, *fixture.server->connections.at(0), "SET a = 1");
+    fixture.pool->release(connection, true);
+    fixture.timers.advance(seconds(4));
+    CHECK(fixture.pool->counted() == 1);
+    CHECK(fixture.server->pending.empty());
+
+    const auto next = fixture.acquireConnection(seconds(60));
+    fixture.timers.advance(seconds(2));
+    fixture.server->completeCloses();
+    fixture.server->acceptAll();
+    REQUIRE(next->status);
+    CHECK(next->status->ok());
+}
+
 TEST_CASE("a connection that its user destroys is closed")
 {
     PoolFixture fixture;
