Decision: a write with an unrecognised error has an unknown outcome

Symptom: a single write that a server answered with an unknown error code ended as FAILED, which states that it ran. Cause: an unrecognised error is treated as executed, so that the write is not repeated; it was also reported as executed. Found by reading.

--- a/src/decision/statementretry.cpp
+++ b/src/decision/statementretry.cpp
@@ -76,6 +76,8 @@
     }
     if (statement.error == ServerError::TimedOut)
         return refused(Reason::DeadlineExceeded, statement.read ? Executed::No : Executed::Unknown);
+    if (statement.error == ServerError::Other && !statement.read)
+        return refused(Reason::Unconfirmed, Executed::Unknown);
     return refused(Reason::StatementFailed, statement.read ? Executed::No : Executed::Yes);
 }
 
--- a/src/decision/statementretry.h
+++ b/src/decision/statementretry.h
@@ -17,7 +17,7 @@
     // Executed.
     Failed,
     TimedOut,
-    // Any other error, treated as executed.
+    // Any other error. The statement may have been executed.
     Other,
 };
 
--- a/tests/decision/statementretry_test.cpp
+++ b/tests/decision/statementretry_test.cpp
@@ -60,6 +60,20 @@
     CHECK(onServerError(singleWrite(ServerError::Failed)).executed == Executed::Yes);
 }
 
+// Such a write was reported as executed, though nothing is known of it.
+TEST_CASE("A write that ends with an unrecognised error has an unknown outcome")
+{
+    const RetryDecision write = onServerError(singleWrite(ServerError::Other));
+    CHECK_FALSE(write.sendAgain);
+    CHECK(write.reason == Reason::Unconfirmed);
+    CHECK(write.executed == Executed::Unknown);
+    const RetryDecision commit = onServerError(inTransaction(ServerError::Other, true));
+    CHECK(commit.executed == Executed::Unknown);
+    const RetryDecision open = onServerError(inTransaction(ServerError::Other, false));
+    CHECK(open.executed == Executed::No);
+    CHECK(open.endsTransaction);
+}
+
 TEST_CASE("A write whose answer is lost has an unknown outcome and is never sent again")
 {
     CHECK(onAnswerLost(singleRead(ServerError::None)).sendAgain);
