Owner: control connections follow a server's address and credentials

Symptom: after a configuration with another address for a primary, the end of the process at the old address looked like the end of the primary, which was replaced. Cause: FailoverDriver::setServers kept the control connection by name; GroupServers compares address and credentials. Change: both use the same comparison. Found by reading.

--- a/src/owner/failoverdriver.cpp
+++ b/src/owner/failoverdriver.cpp
@@ -75,14 +75,12 @@
             leaving.push_back(server.name);
         auto &connection = connections[server.name];
         const auto found = connections_.find(server.name);
-        if (found != connections_.end()) {
+        if (found != connections_.end() && !isRemovedOrChanged(old, group, server.name)) {
             connection = found->second;
             continue;
         }
-        const backend::ServerEndpoint endpoint {server.address, server.port, group.database,
-                                                group.user, group.password};
-        connection =
-            std::make_shared<ControlConnection>(ports_.timers, ports_.makeServer(endpoint));
+        connection = std::make_shared<ControlConnection>(
+            ports_.timers, ports_.makeServer(endpointOf(group, server)));
     }
     connections_.swap(connections);
     for (const auto &[name, connection] : connections) {
--- a/tests/owner/failoverdriver_test.cpp
+++ b/tests/owner/failoverdriver_test.cpp
@@ -131,10 +131,13 @@
     Metrics metrics;
     OwnerMetrics ownerMetrics {metrics};
     std::map<ServerName, std::shared_ptr<FakeServer>> servers;
+    // Password of the last endpoint for which connections were made.
+    std::string lastPassword;
     OwnerPorts ports {timers,
                       links,
                       table,
                       [this](const backend::ServerEndpoint &endpoint) {
+                          lastPassword = endpoint.password;
                           return std::shared_ptr<backend::BackendServer>(servers.at(endpoint.host));
                       },
                       ownerMetrics,
@@ -174,3 +177,33 @@
           == std::vector<ServerName> {"a", "b"});
     CHECK(f.driver->decision()->isCutOff(f.timers.now()));
 }
+
+// The owner went on probing the old address, whose end looked like the end of the primary.
+TEST_CASE("A server whose address changed is probed at its new address")
+{
+    Fixture f;
+    f.start();
+    f.servers["a2"] = std::make_shared<FakeServer>(f.timers);
+    f.servers["a2"]->term = 2;
+    f.servers["a2"]->primary = true;
+    f.group.servers.front().address = "a2";
+    f.driver->setServers(f.group);
+    f.run(200ms);
+    f.kill("a");
+    f.run(3s);
+    CHECK(f.driver->decision()->primary() == std::optional<ServerName>("a"));
+    CHECK(f.driver->decision()->silentServers(f.timers.now()).empty());
+    CHECK_FALSE(f.servers["b"]->primary);
+}
+
+TEST_CASE("Control connections are opened again when the credentials change")
+{
+    Fixture f;
+    f.start();
+    f.lastPassword = "unused";
+    f.group.password = "new password";
+    f.driver->setServers(f.group);
+    f.run(200ms);
+    CHECK(f.lastPassword == "new password");
+    CHECK(f.driver->decision()->silentServers(f.timers.now()).empty());
+}
--- a/tests/owner/owner_test.cpp
+++ b/tests/owner/owner_test.cpp
@@ -410,3 +410,21 @@
     INFO(reasonInfo(result.reason).name << ' ' << result.detail);
     CHECK(result.reason == Reason::None);
 }
+
+TEST_CASE("Reads and writes continue after the credentials of all servers have changed")
+{
+    OwnerCluster cluster(1);
+    REQUIRE(cluster.entry().execute(insertOffer("one")).reason == Reason::None);
+    settings::Inventory changed = cluster.inventory();
+    changed.groups.front().password = "new password";
+    cluster.install(2, changed);
+    const Instant begin = BootClock::now();
+    const auto written = cluster.entry().execute(insertOffer("two"));
+    INFO(reasonInfo(written.reason).name << ' ' << written.detail);
+    REQUIRE(written.reason == Reason::None);
+    CHECK(readIds(cluster, written.position) == std::set<std::string> {"one", "two"});
+    inner::Execute browse = OwnerCluster::read("SELECT id FROM offer");
+    browse.statedAge = 2s;
+    CHECK(cluster.entry().execute(browse).reason == Reason::None);
+    CHECK(BootClock::now() - begin < 2s);
+}
