Owner: shares of servers with few connections stay within the limit

Symptom: six connections to servers that allow three, four or five. Cause: the owner and both successors kept two connections each, whatever the server allows. Change: below six connections successors keep no reserve and the owner leaves one for its predecessor's control connection; the inventory refuses fewer than three with a finding of its own.

--- a/src/owner/groupruntime.cpp
+++ b/src/owner/groupruntime.cpp
@@ -119,7 +119,8 @@
     const bool listed = ownership_.role() == decision::OwnershipRole::Successor;
     if (ownerAlive && !listed)
         refreshOwner();
-    const bool reserve = ownerAlive && listed && now() - promisingSince_ >= reserveDelay;
+    const bool reserve =
+        ownerAlive && listed && servers_.hasReserves() && now() - promisingSince_ >= reserveDelay;
     if (reserve == reserveOpen_)
         return;
     reserveOpen_ = reserve;
--- a/src/owner/groupservers.cpp
+++ b/src/owner/groupservers.cpp
@@ -13,11 +13,16 @@
 constexpr int successorCount = 2;
 // A successor's reserve is at most 1 / reserveDivisor of a server's connections.
 constexpr int reserveDivisor = 5;
+// The least that serves statements.
+constexpr int minShare = 1 + controlConnections;
 
+// Returns 0 when the server has too few connections for an owner and its successors.
 int successorReserve(const settings::Server &server)
 {
+    if (server.connections < (1 + successorCount) * minShare)
+        return 0;
     const int wanted = server.slots + controlConnections;
-    return std::max(1 + controlConnections, std::min(wanted, server.connections / reserveDivisor));
+    return std::max(minShare, std::min(wanted, server.connections / reserveDivisor));
 }
 
 } // namespace
@@ -238,12 +243,20 @@
     case ConnectionShare::None:
         return 0;
     case ConnectionShare::Reserve:
-        return reserve - controlConnections;
+        return std::max(0, reserve - controlConnections);
     case ConnectionShare::Owner:
-        return std::max(reserve, server.connections - successorCount * reserve)
-            - controlConnections;
+        break;
     }
-    return 0;
+    // Without reserves, the previous owner may still have its control connection.
+    const int others = reserve > 0 ? successorCount * reserve : controlConnections;
+    return std::max(1, server.connections - others - controlConnections);
+}
+
+bool GroupServers::hasReserves() const
+{
+    return std::all_of(servers_.begin(), servers_.end(), [](const auto &entry) {
+        return successorReserve(entry.second.executor->server()) > 0;
+    });
 }
 
 void GroupServers::setConnectionShare(ConnectionShare share, std::function<void()> onWithinShare)
--- a/src/owner/groupservers.h
+++ b/src/owner/groupservers.h
@@ -68,6 +68,8 @@
     };
     // Calls onWithinShare once the open connections to all servers are within the share.
     void setConnectionShare(ConnectionShare share, std::function<void()> onWithinShare = {});
+    // Whether successors may open connections to all servers ahead of need.
+    bool hasReserves() const;
     // Returns the limit of open transactions, which leaves one connection free for each slot.
     std::size_t transactionLimit() const;
     // Opens pooled connections ahead of need.
--- a/src/settings/inventory.cpp
+++ b/src/settings/inventory.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t minServers = 3;
 
 constexpr NumberRange slotRange {1, 10'000};
+// For a statement, for the owner's control connection, and for that of the previous owner during a
+// hand-over.
+constexpr int minConnections = 3;
 constexpr NumberRange connectionRange {1, 100'000};
 constexpr NumberRange percentRange {0, 100};
 constexpr NumberRange shareRange {1, 100};
@@ -172,6 +175,8 @@
         server.administrativeState = administrativeState(reader);
         if (server.connections < server.slots)
             reader.add("connections", "fewer connections than slots; each slot needs one");
+        else if (server.connections < minConnections)
+            reader.add("connections", "fewer than 3: one for statements and two to change owners");
         servers_[server.group].push_back(std::move(server));
     }
 
--- a/tests/owner/ownercluster.cpp
+++ b/tests/owner/ownercluster.cpp
@@ -27,7 +27,7 @@
     return settings;
 }
 
-settings::Server inventoryServer(const standin::DatabaseServer &server)
+settings::Server inventoryServer(const standin::DatabaseServer &server, int connections)
 {
     settings::Server entry;
     entry.name = server.name();
@@ -36,13 +36,13 @@
     entry.address = "127.0.0.1";
     entry.port = server.port();
     entry.slots = 3;
-    entry.connections = 25;
+    entry.connections = connections;
     return entry;
 }
 
 } // namespace
 
-OwnerCluster::OwnerCluster(int owners, const standin::ServerLimits &limits)
+OwnerCluster::OwnerCluster(int owners, const standin::ServerLimits &limits, int connections)
     : database_(databaseSettings(limits))
 {
     database_.start();
@@ -53,7 +53,7 @@
     group.database = testGroup;
     group.user = "kelptally";
     for (const auto &server : database_.servers())
-        group.servers.push_back(inventoryServer(*server));
+        group.servers.push_back(inventoryServer(*server, connections));
     inventory_.groups.push_back(group);
     for (int i = 0; i < owners; ++i) {
         addresses_.push_back(takeFreeAddress());
--- a/tests/owner/ownercluster.h
+++ b/tests/owner/ownercluster.h
@@ -18,7 +18,9 @@
 class OwnerCluster
 {
 public:
-    explicit OwnerCluster(int owners, const standin::ServerLimits &limits = zeroConnectionCost());
+    // The servers' limits apply to the stand-ins, `connections` to the inventory.
+    explicit OwnerCluster(int owners, const standin::ServerLimits &limits = zeroConnectionCost(),
+                          int connections = 25);
     ~OwnerCluster();
 
     static standin::ServerLimits zeroConnectionCost();
--- a/tests/owner/ownerstop_test.cpp
+++ b/tests/owner/ownerstop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -20,8 +21,11 @@
 public:
     TransactionLoad(const std::vector<std::string> &owners, int entries)
     {
-        for (int i = 0; i < entries; ++i)
-            threads_.emplace_back([this, owners] { run(owners); });
+        for (int i = 0; i < entries; ++i) {
+            std::vector<std::string> rotated = owners;
+            std::rotate(rotated.begin(), rotated.begin() + i % long(owners.size()), rotated.end());
+            threads_.emplace_back([this, rotated] { run(rotated); });
+        }
     }
     ~TransactionLoad()
     {
@@ -127,3 +131,27 @@
         std::this_thread::sleep_for(5ms);
     CHECK(cluster.owner(owner).drained());
 }
+
+// The owner and the reserves of its successors exceeded the limit of servers with few connections.
+TEST_CASE("Connections to servers with few of them stay within the limit during hand-overs")
+{
+    const int allowed = GENERATE(3, 4, 5, 6);
+    standin::ServerLimits limits = OwnerCluster::zeroConnectionCost();
+    limits.connections = 200;
+    OwnerCluster cluster(3, limits, allowed);
+    // Successors open their reserves a while after their first promise.
+    constexpr Duration reservesOpen = 3500ms;
+    const std::string owner = cluster.waitForServingOwner();
+    REQUIRE(cluster.waitForSuccessors(2));
+    const TransactionLoad load(cluster.addresses(), 8);
+    std::this_thread::sleep_for(reservesOpen);
+    CHECK(load.completed() > 0);
+    cluster.owner(owner).drain();
+    const Instant end = BootClock::now() + 10s;
+    while (!cluster.owner(owner).drained() && BootClock::now() < end)
+        std::this_thread::sleep_for(5ms);
+    CHECK(cluster.owner(owner).drained());
+    CHECK(cluster.waitForServingOwner() != owner);
+    std::this_thread::sleep_for(500ms);
+    CHECK(cluster.peakConnections() <= allowed);
+}
--- a/tests/settings/inventory_test.cpp
+++ b/tests/settings/inventory_test.cpp
@@ -181,6 +181,8 @@
         {"127.0.0.1:12", "127.0.0.1:11",
          "f:24: server s2/address: the address is already that of server s1/address"},
         {"connections = 25", "connections = 2", "f:20: server s1/connections: fewer"},
+        {"slots = 3\nconnections = 25", "slots = 1\nconnections = 2",
+         "f:20: server s1/connections: fewer than 3"},
         {"stated-age = 250ms", "stated-age = 250", "f:36: kind look/stated-age: not a duration"},
         {"stated-age = 250ms", "stated-age = 0s", "f:36: kind look/stated-age: not a duration"},
         {"stated-age = 250ms", "repeatable = no", "f:36: kind look/repeatable: a read is always"},
