Admin: a history beyond the store's limit is refused, not cut

Symptom: an operator who asked for more than 100 versions got 100, as if there were no more. Cause: the API's limit was 1,000, the store's 100. Change: one limit, and a clear error beyond it. Found by reading.

--- a/src/admin/configstore.h
+++ b/src/admin/configstore.h
@@ -32,6 +32,9 @@
 using ConfigHistoryCallback = std::function<void(absl::StatusOr<std::vector<ConfigRecord>>)>;
 using ConfigApplyCallback = std::function<void(absl::StatusOr<ConfigApplied>)>;
 
+// Maximum number of versions in one history, each of which is a read of its own.
+constexpr std::size_t maxHistoryLimit = 100;
+
 // Stores accepted versions in the platform's table service, with a snapshot of the newest in the
 // object store. Used on the admin thread; each callback is called exactly once, on that thread.
 class ConfigStore
@@ -44,7 +47,7 @@
     virtual void readNewest(ConfigRecordCallback callback) = 0;
     virtual void readVersion(ConfigVersion version, ConfigRecordCallback callback) = 0;
     virtual void readSnapshot(ConfigRecordCallback callback) = 0;
-    // Reads the newest versions, newest first, without their documents.
+    // Reads the newest versions, newest first, without their documents; at most maxHistoryLimit.
     virtual void readHistory(std::size_t limit, ConfigHistoryCallback callback) = 0;
     // Updates the snapshot to this version if it is older; retries until that succeeds.
     virtual void updateSnapshot(ConfigVersion version) = 0;
--- a/src/admin/operatorapi.cpp
+++ b/src/admin/operatorapi.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::size_t defaultHistoryLimit = 20;
-constexpr std::size_t maxHistoryLimit = 1000;
 constexpr std::size_t maxAuthorLength = 128;
 constexpr const char *documentName = "document";
 
@@ -338,8 +337,10 @@
 
 void OperatorApi::history(Call call)
 {
-    const std::size_t limit = std::min<std::size_t>(
-        toNumber(queryValue(call.query, "limit"), defaultHistoryLimit), maxHistoryLimit);
+    const std::size_t limit = toNumber(queryValue(call.query, "limit"), defaultHistoryLimit);
+    if (limit > maxHistoryLimit)
+        return refuse(call.reply, Reason::MalformedRequest,
+                      "limit: at most " + std::to_string(maxHistoryLimit));
     parts_.store.readHistory(limit,
                              [this, call](absl::StatusOr<std::vector<ConfigRecord>> records) {
                                  if (!records.ok())
--- a/src/admin/platformconfigstore.cpp
+++ b/src/admin/platformconfigstore.cpp
@@ -13,8 +13,6 @@
 using decision::WriteOutcome;
 using services::TableRow;
 
-// Limits the number of versions in one history, each of which is a read of its own.
-constexpr std::size_t maxHistoryLimit = 100;
 
 // Maps the status of a write to whether it was made, refused or of unknown outcome.
 WriteOutcome toWriteOutcome(const absl::Status &status)
--- a/tests/admin/operatorapi_test.cpp
+++ b/tests/admin/operatorapi_test.cpp
@@ -219,3 +219,15 @@
     CHECK(exit == CtlExit::Done);
     CHECK(contains(out.str(), "configuration version 0"));
 }
+
+// The API allowed ten times as many versions as the store reads, and returned fewer without a word.
+TEST_CASE("A history is limited to what the store reads, with a clear error beyond")
+{
+    FrameFixture fixture;
+    const std::string path = "/admin/v1/configuration/history?limit=";
+    const std::string key = "Authorization: Bearer root\r\n";
+    CHECK(get(fixture, path + std::to_string(maxHistoryLimit), key).status == 200);
+    const auto refused = get(fixture, path + std::to_string(maxHistoryLimit + 1), key);
+    CHECK(refused.status == 400);
+    CHECK(contains(refused.body, "limit: at most 100"));
+}
