Stand-in: wait before a failed accept is repeated

Symptom: a stand-in without free descriptors used a whole processor, beside the processes under test. Cause: its accept loops repeated a failed accept at once. Found by reading.

--- a/src/standin/databaseserver.cpp
+++ b/src/standin/databaseserver.cpp
@@ -1,5 +1,6 @@
 #include "standin/databaseserver.h"
 
+#include "standin/acceptretry.h"
 #include "standin/wiresession.h"
 
 #include <boost/asio/post.hpp>
@@ -80,8 +81,12 @@
                 std::make_shared<WireSession>(*this, std::move(socket), id, std::random_device()());
             sessions_.emplace(id, session);
             session->start();
+            return accept();
         }
-        accept();
+        timers().subscribeAfter(acceptRetryDelay, [this] {
+            if (acceptor_.is_open())
+                accept();
+        });
     });
 }
 
--- a/src/standin/faultcontrol.cpp
+++ b/src/standin/faultcontrol.cpp
@@ -1,5 +1,7 @@
 #include "standin/faultcontrol.h"
 
+#include "standin/acceptretry.h"
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -75,8 +77,11 @@
         acceptor.async_accept([this](const beast::error_code &error, tcp::socket socket) {
             if (error == asio::error::operation_aborted)
                 return;
-            if (!error)
-                std::make_shared<ControlSession>(std::move(socket), groups)->read();
+            if (error) {
+                thread.timers().subscribeAfter(acceptRetryDelay, [this] { accept(); });
+                return;
+            }
+            std::make_shared<ControlSession>(std::move(socket), groups)->read();
             accept();
         });
     }
--- a/src/standin/platformstandin.cpp
+++ b/src/standin/platformstandin.cpp
@@ -1,5 +1,6 @@
 #include "standin/platformstandin.h"
 
+#include "standin/acceptretry.h"
 #include "standin/platformstate.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -129,11 +130,16 @@
             const auto self = weak.lock();
             if (!self || error == asio::error::operation_aborted)
                 return;
-            if (!error) {
-                Error ignored;
-                socket.set_option(Tcp::no_delay(true), ignored);
-                std::make_shared<Session>(std::move(socket), self->thread_, self->state)->read();
+            if (error) {
+                self->thread_.timers().subscribeAfter(acceptRetryDelay, [weak] {
+                    if (const auto server = weak.lock())
+                        server->accept();
+                });
+                return;
             }
+            Error ignored;
+            socket.set_option(Tcp::no_delay(true), ignored);
+            std::make_shared<Session>(std::move(socket), self->thread_, self->state)->read();
             self->accept();
         });
     }
--- a/tests/standin/wire_test.cpp
+++ b/tests/standin/wire_test.cpp
@@ -1,7 +1,14 @@
 #include "testgroup.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <ctime>
+#include <sys/resource.h>
+#include <thread>
+#include <unistd.h>
+
 using namespace kelptally;
 using namespace kelptally::standin;
 
@@ -214,3 +221,27 @@
     first.reset();
     CHECK(eventually([&] { return TestClient(group.port("a")).connected(); }));
 }
+
+// The accept loop repeated a failing accept at once, so that a stand-in without free descriptors
+// took a whole processor from the processes under test.
+TEST_CASE("A stand-in without free descriptors waits before it accepts again", "[standin]")
+{
+    TestGroup group;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context, boost::asio::ip::tcp::v4());
+    rlimit before {};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const int firstFree = ::dup(socket.native_handle());
+    REQUIRE(::close(firstFree) == 0);
+    rlimit none = before;
+    none.rlim_cur = static_cast<rlim_t>(firstFree);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    socket.connect(
+        {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(group.port("a"))});
+    const std::clock_t cpuBefore = std::clock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const double cpuSeconds = double(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    CHECK(cpuSeconds < 0.1);
+    CHECK(TestClient(group.port("a")).connected());
+}
