--- a/src/admin/platformconfigstore.cpp
+++ b/src/admin/platformconfigstore.cpp
@@ -13,7 +13,6 @@
 using decision::WriteOutcome;
 using services::TableRow;
 
-
 // Maps the status of a write to whether it was made, refused or of unknown outcome.
 WriteOutcome toWriteOutcome(const absl::Status &status)
 {
