Tests: a read whose answer is lost is sent again by the process

Cause: process_test lost the answers of writes only; nothing there showed that a read is repeated. Change: the fake server loses the answer of a read; the caller gets its row, and the server sees the read twice.

No functional change

--- a/tests/platform/fakeplatform.cpp
+++ b/tests/platform/fakeplatform.cpp
@@ -134,6 +134,12 @@
     loseNextWrite_ = true;
 }
 
+void FakeServer::loseNextRead()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    loseNextRead_ = true;
+}
+
 void FakeServer::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, Tcp::socket socket) {
@@ -193,6 +199,11 @@
             + ready();
     if (text.rfind("BEGIN", 0) == 0)
         connection.state = 'T';
+    const bool read = text.find("READ ") != std::string::npos;
+    if (read && loseNextRead_) {
+        loseNextRead_ = false;
+        return std::string();
+    }
     if (write && loseNextWrite_) {
         loseNextWrite_ = false;
         return std::string();
--- a/tests/platform/fakeplatform.h
+++ b/tests/platform/fakeplatform.h
@@ -55,6 +55,8 @@
     std::vector<std::string> lines();
     // Makes the server close the connection instead of answering the next write.
     void loseNextWrite();
+    // The same for the next read.
+    void loseNextRead();
 
 private:
     struct Connection;
@@ -69,6 +71,7 @@
     std::mutex mutex_;
     std::vector<std::string> lines_;
     bool loseNextWrite_ = false;
+    bool loseNextRead_ = false;
     std::uint64_t commits_ = 0;
 };
 
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -274,6 +274,19 @@
     CHECK(sent == 1);
 }
 
+TEST_CASE("A read whose answer is lost is sent again")
+{
+    Deployment deployment;
+    Caller caller(deployment.callerPort);
+    caller.query("START main me");
+    deployment.server.loseNextRead();
+    CHECK(caller.query("QUERY 1 READ a1") == "DATAROW row-of-a1|COMPLETE sig-1|READY I -");
+    int sent = 0;
+    for (const std::string &line : deployment.server.lines())
+        sent += line.find("QUERY 1 ") != std::string::npos;
+    CHECK(sent == 2);
+}
+
 TEST_CASE("Invalid input is refused without affecting other sessions")
 {
     Deployment deployment;
