--- a/src/inner/websocketlinks.cpp
+++ b/src/inner/websocketlinks.cpp
@@ -137,7 +137,7 @@
     releaseClosed();
 }
 
-// Links that are still opening have nothing to flush.
+// Closes open links, and aborts those that are still opening, which have nothing to flush.
 void WebsocketLinks::closeAll()
 {
     stopping_ = true;
--- a/src/owner/groupservers.cpp
+++ b/src/owner/groupservers.cpp
@@ -13,7 +13,7 @@
 constexpr int successorCount = 2;
 // A successor's reserve is at most 1 / reserveDivisor of a server's connections.
 constexpr int reserveDivisor = 5;
-// The least that serves statements.
+// Smallest share that serves statements.
 constexpr int minShare = 1 + controlConnections;
 
 // Returns 0 when the server has too few connections for an owner and its successors.
@@ -288,7 +288,8 @@
         return;
     for (auto &[name, server] : servers_) {
         const settings::Server &settings = server.executor->server();
-        const int open = std::min(settings.slots, successorReserve(settings) - controlConnections);
+        const int open =
+            std::min(settings.slots, std::max(0, successorReserve(settings) - controlConnections));
         server.executor->setMinConnections(
             settings.administrativeState == settings::AdministrativeState::Active ? open : 0);
     }
--- a/tests/inner/peerlinks_test.cpp
+++ b/tests/inner/peerlinks_test.cpp
@@ -76,18 +76,6 @@
         return all;
     }
 
-    // Requires that the other end closes the socket within a second.
-    static void expectEnd(tcp::socket socket)
-    {
-        const timeval timeout {1, 0};
-        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-        std::array<char, 512> bytes {};
-        ssize_t received = 1;
-        while (received > 0)
-            received = ::recv(socket.native_handle(), bytes.data(), bytes.size(), 0);
-        CHECK((received == 0 || errno == ECONNRESET));
-    }
-
 private:
     boost::asio::io_context context_;
     tcp::socket socket_;
@@ -180,6 +168,25 @@
     std::thread thread_;
 };
 
+// Requires that the other end closes the socket within a second.
+void expectEnd(tcp::socket socket)
+{
+    const timeval timeout {1, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    std::array<char, 512> bytes {};
+    ssize_t received = 1;
+    while (received > 0)
+        received = ::recv(socket.native_handle(), bytes.data(), bytes.size(), 0);
+    CHECK((received == 0 || errno == ECONNRESET));
+}
+
+// Returns the number of open descriptors of this process.
+std::size_t countDescriptors()
+{
+    const std::filesystem::directory_iterator descriptors("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 } // namespace
 
 TEST_CASE("Messages arrive in order in both directions")
@@ -390,13 +397,6 @@
     CHECK(b.events.waitForDowns(1));
 }
 
-// Returns the number of open descriptors of this process.
-std::size_t countDescriptors()
-{
-    const std::filesystem::directory_iterator descriptors("/proc/self/fd");
-    return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
-}
-
 // A link that could not be closed within the flush time was never freed: its peer waited for the
 // silence timeout.
 TEST_CASE("Destroying the links closes all of them, whatever their peers do")
@@ -422,7 +422,7 @@
         stoppedThread.stop();
 
         process.links.reset();
-        RawClient::expectEnd(std::move(opening));
+        expectEnd(std::move(opening));
     }
     CHECK(countDescriptors() == before);
 }
