--- a/tests/core/freeport.h
+++ b/tests/core/freeport.h
@@ -27,7 +27,7 @@
 {
     using boost::asio::ip::tcp;
     static std::mutex mutex;
-    static boost::asio::io_context context;
+    boost::asio::io_context context;
     static std::set<int> usedPorts;
     const std::lock_guard<std::mutex> lock(mutex);
     int port = 0;
