Tests: one place for the options of an entry's links

Cause: the same six lines stood in TestEntry, in EagerEntry and in the load of owner_measure. Change: entryLinkOptions(). ownerstart_test passes; the checks are as they were.

No functional change

--- a/tests/owner/ownermeasure.cpp
+++ b/tests/owner/ownermeasure.cpp
@@ -224,12 +224,8 @@
 public:
     Load(std::string owner, inner::Execute execute) : owner_(std::move(owner)), execute_(execute)
     {
-        inner::PeerLinkOptions options;
-        options.listenAddress = takeFreeAddress();
-        options.self = {options.listenAddress, 1};
+        inner::PeerLinkOptions options = entryLinkOptions();
         options.host = "load";
-        options.zone = "lulea-a";
-        options.peerKey = testPeerKey;
         links_ = std::move(*inner::makePeerLinks(options, *this));
         links_->connect(owner_);
         while (!connected_)
--- a/tests/owner/ownerstart_test.cpp
+++ b/tests/owner/ownerstart_test.cpp
@@ -1,5 +1,3 @@
-#include "freeport.h"
-#include "inner/websocketlinks.h"
 #include "ownercluster.h"
 
 #include <catch2/catch.hpp>
@@ -22,12 +20,7 @@
 public:
     explicit EagerEntry(const std::string &owner)
     {
-        inner::PeerLinkOptions options;
-        options.listenAddress = takeFreeAddress();
-        options.self = {options.listenAddress, 1};
-        options.host = "test";
-        options.zone = "lulea-a";
-        options.peerKey = testPeerKey;
+        inner::PeerLinkOptions options = entryLinkOptions();
         options.reconnectMin = 1ms;
         options.reconnectMax = 1ms;
         auto links = inner::makePeerLinks(options, *this);
--- a/tests/owner/testentry.cpp
+++ b/tests/owner/testentry.cpp
@@ -1,7 +1,6 @@
 #include "testentry.h"
 
 #include "freeport.h"
-#include "inner/websocketlinks.h"
 #include "ownercluster.h"
 
 #include <stdexcept>
@@ -20,7 +19,7 @@
 
 } // namespace
 
-TestEntry::TestEntry(std::vector<std::string> owners) : owners_(std::move(owners))
+inner::PeerLinkOptions entryLinkOptions()
 {
     inner::PeerLinkOptions options;
     options.listenAddress = takeFreeAddress();
@@ -28,6 +27,12 @@
     options.host = "test";
     options.zone = "lulea-a";
     options.peerKey = testPeerKey;
+    return options;
+}
+
+TestEntry::TestEntry(std::vector<std::string> owners) : owners_(std::move(owners))
+{
+    const inner::PeerLinkOptions options = entryLinkOptions();
     auto links = inner::makePeerLinks(options, *this);
     if (!links.ok())
         throw std::runtime_error(std::string(links.status().message()));
--- a/tests/owner/testentry.h
+++ b/tests/owner/testentry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "inner/peerlink.h"
+#include "inner/websocketlinks.h"
 
 #include <condition_variable>
 #include <map>
@@ -12,6 +12,9 @@
 
 namespace kelptally::owner {
 
+// Returns the options of an entry's links, with an address of its own.
+inner::PeerLinkOptions entryLinkOptions();
+
 // Simulates an entry: connects to owners, sends requests, follows owner hints and retries requests
 // that did not run. Used from any thread but the links' own.
 class TestEntry : public inner::PeerEvents
