Observability: progress of the store's answers, rows left out, time until a configuration is in force

The logs of the late configuration could not tell four hypotheses apart: neither the size of an answer, nor what had arrived when its call timed out, nor when a row arrived, nor why a relay left rows out was logged. Callbacks of the platform's services now report the progress of an answer. New lines: store_call_timed_out (nothing or part, with the bytes), table_answered, table_update_unusable, table_rows_omitted; configuration_in_force tells the time since the change, the arrival and the parsing. New metrics: kelptally_store_timeouts_total, kelptally_configuration_delay_seconds.

No functional change

--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -33,8 +33,9 @@
 
 HostProcess::HostProcess(const settings::HostSettings &settings, const Ports &ports)
     : settings_(settings), ports_(ports), self_ {settings.peerAddress(), ports.incarnation},
-      stageTimes_(ports.metrics), random_(static_cast<std::minstd_rand::result_type>(
-                                      std::hash<std::string>()(self_.address) ^ ports.incarnation)),
+      stageTimes_(ports.metrics), configurationTimes_(ports.metrics),
+      random_(static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(self_.address)
+                                                         ^ ports.incarnation)),
       store_({ports.timers, ports.table, ports.feed, ports.log, ports.metrics,
               settings.storeTimeout,
               [this](std::function<void(bool)> callback) { probeStore(std::move(callback)); },
@@ -141,17 +142,19 @@
                  });
 }
 
-void HostProcess::onCatalogue(session::CataloguePtr catalogue)
+void HostProcess::onCatalogue(session::CataloguePtr catalogue, const ConfigurationArrival &arrival)
 {
     const session::CataloguePtr before = catalogue_.shared();
     const ConfigVersion version = catalogue->version;
-    if (!catalogue_.install(std::move(catalogue), ports_.timers.now()))
+    const Instant now = ports_.timers.now();
+    if (!catalogue_.install(std::move(catalogue), now))
         return;
-    ports_.log.info("configuration_in_force")
-        .with("version", version)
-        .with("before", before ? before->version : 0)
-        .with("routes", std::uint64_t(catalogue_.get()->routes.size()))
-        .with("keys", std::uint64_t(catalogue_.get()->keys.size()));
+    configurationTimes_.add(arrival, now,
+                            ports_.log.info("configuration_in_force")
+                                .with("version", version)
+                                .with("before", before ? before->version : 0)
+                                .with("routes", std::uint64_t(catalogue_.get()->routes.size()))
+                                .with("keys", std::uint64_t(catalogue_.get()->keys.size())));
     groups_->setCatalogue(catalogue_.shared());
     // Servers that were listed before the configuration named their group are reported again.
     for (const auto &[group, options] : catalogue_.get()->groups) {
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -4,6 +4,7 @@
 #include "group/grouphost.h"
 #include "group/localreads.h"
 #include "group/serverlist.h"
+#include "host/configurationtimes.h"
 #include "host/tablerelay.h"
 #include "inner/peerlink.h"
 #include "services/storecircuitbreaker.h"
@@ -64,7 +65,7 @@
     absl::Status start(CallerConnections &callers);
 
     // Installs a configuration; one older than the current one is ignored.
-    void onCatalogue(session::CataloguePtr catalogue);
+    void onCatalogue(session::CataloguePtr catalogue, const ConfigurationArrival &arrival = {});
     group::ServerList &servers() { return serverList_; }
     // Handles an invalid server entry: the server counts as missing.
     void onServerRefused(const ServerName &server, const FieldError &error);
@@ -172,6 +173,7 @@
     double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
     session::StageTimes stageTimes_;
+    ConfigurationTimes configurationTimes_;
     std::minstd_rand random_;
     services::StoreCircuitBreaker store_;
     RelayLinks relayLinks_ {*this};
--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -32,13 +32,15 @@
 // Smaller rows are always sent whole.
 constexpr std::size_t minLargeRowBytes = 2u << 10;
 
-services::RowChange toChange(const inner::TableUpdateRow &row, Duration serviceTime)
+services::RowChange toChange(const inner::TableUpdateRow &row, Duration serviceTime,
+                             Instant receivedAt)
 {
     services::RowChange change;
     change.row.key = row.key;
     change.row.value = row.value;
     change.row.etag = std::to_string(row.version);
     change.row.serviceTime = serviceTime;
+    change.row.receivedAt = receivedAt;
     change.removed = row.removed;
     return change;
 }
@@ -165,7 +167,7 @@
         if (row.removed)
             pending.rows.erase(row.key);
         else
-            pending.rows[row.key] = toChange(row, update.serviceTime).row;
+            pending.rows[row.key] = toChange(row, update.serviceTime, parts_.timers.now()).row;
     }
     pending.upTo = update.upTo;
     if (update.isPartial) {
@@ -343,6 +345,7 @@
     const std::uint64_t poll = ++lastPoll_;
     table.pendingPoll = poll;
     table.pendingPollWait = wait;
+    table.polledAt = parts_.timers.now();
     table.needsPoll = false;
     parts_.store.changes(table.name, table.upTo, wait,
                          [this, alive = alive_, name = table.name,
@@ -367,6 +370,7 @@
         table.callback = nullptr;
         return callback(answer.status());
     }
+    logAnswer(table, *answer);
     std::vector<Change> changes;
     for (const services::RowChange &row : answer->changes)
         changes.push_back(changeOf(table, row));
@@ -388,6 +392,22 @@
     });
 }
 
+// Only answers with large rows are logged above the debug level.
+void TableRelay::logAnswer(const Table &table, const services::TableChanges &answer) const
+{
+    std::size_t bytes = 0;
+    for (const services::RowChange &change : answer.changes)
+        bytes += change.row.value.size();
+    const LogLevel level = bytes >= minLargeRowBytes ? LogLevel::Info : LogLevel::Debug;
+    parts_.log.line(level, "table_answered")
+        .with("table", table.name)
+        .with("after", table.upTo)
+        .with("up_to", answer.next)
+        .with("rows", std::uint64_t(answer.changes.size()))
+        .with("bytes", std::uint64_t(bytes))
+        .with("took_ms", parts_.timers.now() - table.polledAt);
+}
+
 // History
 
 // Converts a row from the service. Only relays compute the difference.
@@ -531,6 +551,13 @@
         relay->second.lastUpdateAt = parts_.timers.now();
     const bool hasGap = update.rowsOmitted || update.after > table.upTo;
     if (hasGap && update.upTo > table.upTo) {
+        parts_.log.info("table_update_unusable", update.rowsOmitted ? "rows_omitted" : "gap")
+            .with("table", table.name)
+            .with("from", from)
+            .with("after", update.after)
+            .with("up_to", update.upTo)
+            .with("known", table.upTo)
+            .with("polling", table.pendingPoll != 0);
         table.neededVersion = update.upTo;
         return schedulePoll(table);
     }
@@ -558,7 +585,7 @@
         if (row.version <= table.upTo)
             continue;
         Change change;
-        change.row = toChange(row, update.serviceTime);
+        change.row = toChange(row, update.serviceTime, parts_.timers.now());
         if (row.baseVersion != 0) {
             const auto known = table.largeRows.find(row.key);
             if (large.count(row.key) == 0 && known != table.largeRows.end())
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -118,6 +118,7 @@
         // Newest poll of the service in flight, 0 if none, and how long it may stay open.
         std::uint64_t pendingPoll = 0;
         Duration pendingPollWait {0};
+        Instant polledAt {};
         // Set when changes up to neededVersion must be read from the service at pollAt.
         bool needsPoll = false;
         std::uint64_t neededVersion = 0;
@@ -173,6 +174,7 @@
     void startPoll(Table &table, Duration wait, const char *why);
     void onPollAnswer(Table &table, std::uint64_t poll,
                       const absl::StatusOr<services::TableChanges> &answer);
+    void logAnswer(const Table &table, const services::TableChanges &answer) const;
     static void resetHistory(Table &table, const services::TableSnapshot &snapshot);
     void appendChanges(Table &table, std::vector<Change> changes, std::uint64_t upTo);
     static void compactHistory(Table &table);
@@ -191,8 +193,8 @@
     static std::optional<inner::TableUpdateRow>
     makeUpdateRow(const Table &table, const Change &change, const Subscriber &subscriber,
                   std::uint64_t after, std::map<std::string, std::uint64_t> &known);
-    static void fillUpdate(inner::TableUpdate &update, const Table &table,
-                           const Subscriber &subscriber, bool isSameZone);
+    void fillUpdate(inner::TableUpdate &update, const Table &table, const Subscriber &subscriber,
+                    bool isSameZone) const;
     void chooseRelays();
     void subscribeTo(const std::string &address);
     void replaceSilentRelays(Duration limit);
--- a/src/host/tablerelaypublisher.cpp
+++ b/src/host/tablerelaypublisher.cpp
@@ -129,7 +129,7 @@
 // A part never splits a version, as one write may change several rows. Rows that exceed the limits
 // are omitted, and the subscriber reads them itself.
 void TableRelay::fillUpdate(inner::TableUpdate &update, const Table &table,
-                            const Subscriber &subscriber, bool isSameZone)
+                            const Subscriber &subscriber, bool isSameZone) const
 {
     update.rowsOmitted = update.after == 0 ? !table.hasAllRows : update.after < table.from;
     const std::size_t maxBytes = !subscriber.withRows ? 0
@@ -157,8 +157,17 @@
         update.rowsOmitted = inParts ? row->value.size() > maxRowBytes : bytes > maxBytes;
         update.rows.push_back(std::move(*row));
     }
-    if (update.rowsOmitted)
-        update.rows.clear();
+    if (!update.rowsOmitted)
+        return;
+    update.rows.clear();
+    if (!subscriber.withRows)
+        return;
+    parts_.log.info("table_rows_omitted", bytes == 0 ? "history" : "size")
+        .with("table", update.table)
+        .with("after", update.after)
+        .with("up_to", update.upTo)
+        .with("bytes", std::uint64_t(bytes))
+        .with("same_zone", isSameZone);
 }
 
 void TableRelay::sendUpdate(inner::LinkId link, const std::string &name)
--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -79,6 +79,7 @@
     TimerId silenceTimer = 0;
     // Whether any byte may have been sent.
     bool sent = false;
+    AnswerProgress progress;
     bool retried = false;
     bool done = false;
 };
@@ -149,6 +150,8 @@
     void connect(const std::shared_ptr<Pool> &pool);
     void write();
     void read();
+    void readSome();
+    void onReceived(std::size_t bytes);
     void onResponse();
     void fail(const Error &error);
 
@@ -166,6 +169,7 @@
 void HttpClient::Pool::Connection::run(CallPtr call)
 {
     call_ = std::move(call);
+    call_->progress = {};
     reused_ = connected_;
     parser_.reset();
     const auto pool = pool_.lock();
@@ -217,12 +221,32 @@
 {
     parser_.emplace();
     parser_->body_limit(maxResponseBytes);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](const Error &error, std::size_t) {
-                         if (error)
-                             return self->fail(error);
-                         self->onResponse();
-                     });
+    readSome();
+}
+
+void HttpClient::Pool::Connection::readSome()
+{
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](const Error &error, std::size_t received) {
+                              if (error)
+                                  return self->fail(error);
+                              self->onReceived(received);
+                          });
+}
+
+void HttpClient::Pool::Connection::onReceived(std::size_t bytes)
+{
+    const auto pool = pool_.lock();
+    if (!pool || !call_ || call_->done)
+        return;
+    call_->progress.received += bytes;
+    if (parser_->is_header_done())
+        call_->progress.bodySize = parser_->content_length().value_or(0);
+    if (parser_->is_done())
+        return onResponse();
+    if (const ProgressCallback &onProgress = call_->callback.onProgress())
+        onProgress(call_->progress);
+    readSome();
 }
 
 void HttpClient::Pool::Connection::onResponse()
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -2,10 +2,8 @@
 
 #include "core/clock.h"
 #include "core/dutythread.h"
+#include "services/answercallback.h"
 
-#include <absl/status/statusor.h>
-
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -56,7 +54,7 @@
     std::string body;
 };
 
-using HttpCallback = std::function<void(absl::StatusOr<HttpResponse>)>;
+using HttpCallback = AnswerCallback<HttpResponse>;
 
 // Client of one HTTP/1.1 server with a small pool of keep-alive connections. Used on the duty
 // thread only, which must outlive it. Callbacks are called there, each exactly once and never from
--- a/src/services/storecircuitbreaker.cpp
+++ b/src/services/storecircuitbreaker.cpp
@@ -31,9 +31,8 @@
 }
 
 template <typename Result, typename Send>
-void StoreCircuitBreaker::submit(Send send, std::function<void(absl::StatusOr<Result>)> callback,
-                                 Duration longPollTime, std::optional<Duration> limit,
-                                 bool isRetryable)
+void StoreCircuitBreaker::submit(Send send, AnswerCallback<Result> callback, Duration longPollTime,
+                                 std::optional<Duration> limit, bool isRetryable)
 {
     auto call = std::make_shared<Call>();
     call->requestedLongPollTime = longPollTime;
@@ -44,12 +43,16 @@
     call->send = [this, alive = alive_, send = std::move(send), callback](const CallPtr &sent,
                                                                           Duration pollTime) {
         const int attemptNumber = sent->attempts;
-        const auto answer = [this, alive, sent, attemptNumber,
-                             callback](absl::StatusOr<Result> result) {
+        auto onAnswer = [this, alive, sent, attemptNumber,
+                         callback](absl::StatusOr<Result> result) {
             if (*alive && onResult(sent, attemptNumber, result.status()))
                 callback(std::move(result));
         };
-        send(pollTime, answer);
+        auto onPartialAnswer = [this, alive, sent, attemptNumber](const AnswerProgress &progress) {
+            if (*alive)
+                onProgress(*sent, attemptNumber, progress);
+        };
+        send(pollTime, AnswerCallback<Result>(std::move(onAnswer), std::move(onPartialAnswer)));
     };
     launchOrWait(call);
 }
@@ -85,6 +88,7 @@
     call->longPollTime = longPollTime;
     call->sentAt = parts_.timers.now();
     ++call->attempts;
+    call->progress = {};
     releaseSlot(*call);
     // Writes are not counted, so that one that hangs doesn't block reads.
     call->holdsSlot = longPollTime == Duration(0) && call->isRetryable;
@@ -188,11 +192,28 @@
     isAbortingOpenCalls_ = false;
 }
 
+void StoreCircuitBreaker::onProgress(Call &call, int attemptNumber, const AnswerProgress &progress)
+{
+    if (attemptNumber == call.attempts)
+        call.progress = progress;
+}
+
 // A read is queued again. A late answer to the attempt that timed out still counts.
 void StoreCircuitBreaker::onCallTimeout(const CallPtr &call)
 {
     if (call->done || call->waiting)
         return;
+    const char *received = call->progress.received == 0 ? "nothing" : "part";
+    parts_.metrics
+        .counter("kelptally_store_timeouts_total",
+                 "Calls of the table service that timed out, by what had arrived of the answer",
+                 {{"received", received}})
+        .Increment();
+    parts_.log.info("store_call_timed_out", received)
+        .with("after_ms", parts_.timers.now() - call->sentAt)
+        .with("received_bytes", std::uint64_t(call->progress.received))
+        .with("body_bytes", std::uint64_t(call->progress.bodySize))
+        .with("sendings", call->attempts);
     onLost(*call, health_.onTimeout(parts_.timers.now()));
     if (call->isRetryable)
         wait(call);
@@ -214,6 +235,8 @@
         .with("asked_ms", parts_.timers.now() - call.sentAt)
         .with("held_ms", call.longPollTime)
         .with("sendings", call.attempts)
+        .with("received_bytes", std::uint64_t(call.progress.received))
+        .with("body_bytes", std::uint64_t(call.progress.bodySize))
         .with("repeats", call.isRetryable);
 }
 
--- a/src/services/storecircuitbreaker.h
+++ b/src/services/storecircuitbreaker.h
@@ -80,14 +80,16 @@
         bool holdsSlot = false;
         Instant sentAt {};
         int attempts = 0;
+        // Of the current attempt.
+        AnswerProgress progress;
         TimerId timeoutTimer = 0;
         TimerId deadlineTimer = 0;
     };
     using CallPtr = std::shared_ptr<Call>;
 
     template <typename Result, typename Send>
-    void submit(Send send, std::function<void(absl::StatusOr<Result>)> callback,
-                Duration longPollTime, std::optional<Duration> limit, bool isRetryable);
+    void submit(Send send, AnswerCallback<Result> callback, Duration longPollTime,
+                std::optional<Duration> limit, bool isRetryable);
     void launchOrWait(const CallPtr &call);
     void launch(const CallPtr &call, Duration longPollTime);
     void wait(const CallPtr &call);
@@ -96,6 +98,7 @@
     void readPage();
     void onPage(absl::StatusOr<TablePage> page);
     void onCallTimeout(const CallPtr &call);
+    void onProgress(Call &call, int attemptNumber, const AnswerProgress &progress);
     void onAnswered(Duration latency);
     void recordFailure(const Call &call, const absl::Status &status, Duration latency);
     // Reports a lost service, with the call that revealed it, if the state has changed.
--- a/src/services/tableservice.h
+++ b/src/services/tableservice.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include "core/clock.h"
-
-#include <absl/status/statusor.h>
+#include "services/answercallback.h"
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,6 +22,8 @@
     // Set by TableFollower: the earliest time, by this host's clock, at which the row may have
     // changed. No value when that is not known.
     std::optional<Instant> changedAfter = std::nullopt;
+    // When the row arrived at this host; Instant() when that is not known.
+    Instant receivedAt {};
 };
 
 // A conditional write. Without an expected tag the row must not exist yet.
@@ -35,9 +35,9 @@
     std::optional<std::string> expectedEtag;
 };
 
-using RowCallback = std::function<void(absl::StatusOr<std::optional<TableRow>>)>;
-using RowsCallback = std::function<void(absl::StatusOr<std::vector<TableRow>>)>;
-using WriteCallback = std::function<void(absl::StatusOr<std::vector<std::string>>)>;
+using RowCallback = AnswerCallback<std::optional<TableRow>>;
+using RowsCallback = AnswerCallback<std::vector<TableRow>>;
+using WriteCallback = AnswerCallback<std::vector<std::string>>;
 
 // The platform's transactional table service. Each callback is called exactly once, on the thread
 // that made the call.
@@ -99,9 +99,9 @@
     std::string nextKey() const { return rows.empty() ? std::string() : rows.back().key + '\x01'; }
 };
 
-using PageCallback = std::function<void(absl::StatusOr<TablePage>)>;
-using ChangesCallback = std::function<void(absl::StatusOr<TableChanges>)>;
-using SnapshotCallback = std::function<void(absl::StatusOr<TableSnapshot>)>;
+using PageCallback = AnswerCallback<TablePage>;
+using ChangesCallback = AnswerCallback<TableChanges>;
+using SnapshotCallback = AnswerCallback<TableSnapshot>;
 
 // The change feed of a table service. Callbacks as for TableService.
 class TableFeed
@@ -144,7 +144,7 @@
     HostState state = HostState::Live;
 };
 
-using HostsCallback = std::function<void(absl::StatusOr<std::vector<ListedHost>>)>;
+using HostsCallback = AnswerCallback<std::vector<ListedHost>>;
 
 // The platform's list of hosts. It may be stale: a new host may be missing and a dead one still
 // listed.
