--- a/src/bench/relaymodel.cpp
+++ b/src/bench/relaymodel.cpp
@@ -144,7 +144,7 @@
                  services::AnswerCallback<Result> callback);
     // Reserves the link for these bytes, after what already comes over it, and returns when they
     // have arrived.
-    Instant arrivalOf(std::size_t bytes, Instant sentAt);
+    Instant arrivalOf(std::size_t bytes);
     void read(const std::string &, const std::string &, services::RowCallback callback) override
     {
         callback(absl::UnimplementedError("not in this model"));
@@ -339,19 +339,19 @@
     if (received != 0)
         callback.reportProgress({received, bytes});
     const std::size_t next = isSmall ? std::min(pieceBytes, bytes - received) : bytes - received;
-    timers.subscribeAt(arrivalOf(next, timers.now()),
-                       [this, id, answer, received = received + next, callback] {
-                           receive(id, answer, received, callback);
-                       });
+    timers.subscribeAt(arrivalOf(next), [this, id, answer, received = received + next, callback] {
+        receive(id, answer, received, callback);
+    });
 }
 
-Instant Host::arrivalOf(std::size_t bytes, Instant sentAt)
+Instant Host::arrivalOf(std::size_t bytes)
 {
+    const Instant now = model.timers.now();
     if (!isSmall || model.plan.linkRate == 0)
-        return sentAt;
+        return now;
     const auto transfer =
         std::chrono::duration<double>(double(bytes) / double(model.plan.linkRate));
-    linkFreeAt = std::max(sentAt, linkFreeAt) + std::chrono::duration_cast<Duration>(transfer);
+    linkFreeAt = std::max(now, linkFreeAt) + std::chrono::duration_cast<Duration>(transfer);
     return linkFreeAt;
 }
 
@@ -441,11 +441,13 @@
     constexpr std::uint64_t headers = 58;
     (other->zone == zone ? model.result.bytesWithinZones : model.result.bytesAcrossZones) +=
         headers + (bytes.ok() ? bytes->size() : 0);
-    const Instant sentAt = std::max({timers.now(), cutOffUntil, other->cutOffUntil}) + linkDelay;
-    const Instant arrival = other->arrivalOf(bytes.ok() ? bytes->size() : 0, sentAt);
-    model.timers.subscribeAt(arrival, [other, alive = other->timers.alive, link, message] {
-        if (*alive && other->up)
-            other->timers.post([other, link, message] { other->onMessage(link, message); });
+    const Instant at = std::max({timers.now(), cutOffUntil, other->cutOffUntil}) + linkDelay;
+    const std::size_t size = bytes.ok() ? bytes->size() : 0;
+    model.timers.subscribeAt(at, [other, alive = other->timers.alive, link, message, size] {
+        if (!*alive || !other->up)
+            return;
+        other->timers.subscribeAt(other->arrivalOf(size),
+                                  [other, link, message] { other->onMessage(link, message); });
     });
     return absl::OkStatus();
 }
