--- a/src/bench/relaymodel.cpp
+++ b/src/bench/relaymodel.cpp
@@ -565,7 +565,9 @@
     const std::size_t bytes =
         table == configuration ? std::size_t(configurationBytes) : std::size_t(250);
     std::string value = std::to_string(version) + " ";
-    value.resize(std::max(value.size(), bytes), 'x');
+    // Entries of a list, of which a new version changes none.
+    for (int entry = 0; value.size() < bytes; ++entry)
+        value += "entry-" + std::to_string(entry) + ",";
     tables.put(table, "row", value);
     if (table == configuration)
         newestConfiguration_ = version;
