Store: timeouts count from the last bytes of an answer, not from the call

Callers were refused with 404 for routes that a confirmed configuration had added, up to 16 s after their host could reach the store again.

Cause: the time limit of a call (0.25 to 0.8 s for a trial call to a lost store, 0.8 to 3 s else) covered the whole transfer, so it bounded the size of an answer by the speed of the link. On 10 Mbit/s an answer of 1.6 MB takes 1.28 s. Each attempt was given up and sent again from the start, and since the one trial call was the large one, all other calls of the host waited behind it. The HTTP client also took a reused connection for silent after 500 ms although an answer was arriving on it.

Why this holds: the first bytes of an answer show that the service is available and close the circuit breaker; from then on the time limit applies to each pause, so it no longer depends on the size or the link. An answer that stops is given up as before, and one that trickles after 30 s. Calls whose answers are arriving are not aborted at the end of an outage. The latency from which time limits follow is that of the first bytes.

--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -31,8 +31,11 @@
 // Holds the largest configuration document as escaped JSON.
 constexpr std::uint64_t maxResponseBytes = 16u << 20;
 constexpr unsigned httpVersion = 11;
-// A GET without an answer for this long on a reused connection is retried on a new one.
+// A GET without an answer for this long on a reused connection is retried on a new one. An answer
+// that pauses for this long is no longer arriving.
 constexpr Duration silenceTimeout = std::chrono::milliseconds(500);
+// Maximum time for which an answer may arrive, however steadily.
+constexpr Duration maxTransferTime = std::chrono::seconds(30);
 // Requests that can't be retried use a connection only if it answered within this time.
 constexpr Duration maxIdleForWrites = std::chrono::seconds(1);
 
@@ -80,6 +83,11 @@
     // Whether any byte may have been sent.
     bool sent = false;
     AnswerProgress progress;
+    // When the first and the last bytes of the answer arrived.
+    Instant firstReceivedAt {};
+    Instant lastReceivedAt {};
+    // Of each pause in the answer.
+    Duration timeout {0};
     bool retried = false;
     bool done = false;
 };
@@ -110,7 +118,10 @@
 
     void dispatch();
     ConnectionPtr takeConnection(const Call &call);
+    void startTimeout(const CallPtr &call, Instant at);
     void startSilenceTimer(const CallPtr &call);
+    void onProgress(const CallPtr &call, const AnswerProgress &progress);
+    bool isArriving(const Call &call) const;
     void onSilenceTimeout(const CallPtr &call);
     void closeConnectionOf(const CallPtr &call);
     void release(const ConnectionPtr &connection);
@@ -239,13 +250,17 @@
     const auto pool = pool_.lock();
     if (!pool || !call_ || call_->done)
         return;
-    call_->progress.received += bytes;
+    const CallPtr call = call_;
+    AnswerProgress progress = call->progress;
+    progress.received += bytes;
     if (parser_->is_header_done())
-        call_->progress.bodySize = parser_->content_length().value_or(0);
+        progress.bodySize = parser_->content_length().value_or(0);
     if (parser_->is_done())
         return onResponse();
-    call_->callback.reportProgress(call_->progress);
-    readSome();
+    pool->onProgress(call, progress);
+    // The callback may have ended the call.
+    if (call_ == call)
+        readSome();
 }
 
 void HttpClient::Pool::Connection::onResponse()
@@ -315,12 +330,38 @@
         });
         return;
     }
-    call->timer = timers_.subscribeAfter(timeout, [weak, call] {
+    call->timeout = timeout - call->request.longPollTime;
+    startTimeout(call, timers_.now() + timeout);
+    queue_.push_back(call);
+    dispatch();
+}
+
+void HttpClient::Pool::startTimeout(const CallPtr &call, Instant at)
+{
+    const std::weak_ptr<Pool> weak = shared_from_this();
+    timers_.cancel(call->timer);
+    call->timer = timers_.subscribeAt(at, [weak, call] {
         if (const auto pool = weak.lock())
             pool->onTimeout(call);
     });
-    queue_.push_back(call);
-    dispatch();
+}
+
+// An answer that is arriving is neither silent nor late, as its size is not known beforehand.
+void HttpClient::Pool::onProgress(const CallPtr &call, const AnswerProgress &progress)
+{
+    const Instant now = timers_.now();
+    if (call->progress.received == 0)
+        call->firstReceivedAt = now;
+    call->lastReceivedAt = now;
+    call->progress = progress;
+    timers_.cancel(call->silenceTimer);
+    startTimeout(call, std::min(now + call->timeout, call->firstReceivedAt + maxTransferTime));
+    call->callback.reportProgress(progress);
+}
+
+bool HttpClient::Pool::isArriving(const Call &call) const
+{
+    return call.progress.received != 0 && timers_.now() - call.lastReceivedAt < silenceTimeout;
 }
 
 void HttpClient::Pool::dispatch()
@@ -433,13 +474,18 @@
 void HttpClient::Pool::abortOpenCalls()
 {
     std::vector<CallPtr> calls;
+    std::vector<ConnectionPtr> arriving;
     for (const auto &connection : busy_) {
+        if (connection->call() && isArriving(*connection->call())) {
+            arriving.push_back(connection);
+            continue;
+        }
         if (connection->call())
             calls.push_back(connection->call());
         connection->close();
         connection->detachCall();
     }
-    busy_.clear();
+    busy_.swap(arriving);
     idle_.clear();
     const std::string text = address_ + ": aborted because open connections are silent";
     for (const CallPtr &call : calls)
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -61,15 +61,16 @@
 // within send(). Destroying the client drops open calls without a callback.
 //
 // Errors: Unavailable when nothing of the request was sent; DeadlineExceeded when it was sent and
-// no answer arrived in time; Unknown when the connection broke after it was sent. A GET that fails
-// or gets no answer on a reused connection is retried once on a new one; other requests are never
-// retried. An aborted call resets its connection, so that its request can't arrive later. As idle
-// connections may be dead without a reset, other requests than GET use a new connection or one that
-// answered recently.
+// the answer did not arrive in time; Unknown when the connection broke after it was sent. A GET
+// that fails or gets no answer on a reused connection is retried once on a new one; other requests
+// are never retried. An aborted call resets its connection, so that its request can't arrive later.
+// As idle connections may be dead without a reset, other requests than GET use a new connection or
+// one that answered recently.
 class HttpClient
 {
 public:
-    // The address is "ip:port". The timeout covers a call from send() to the complete answer.
+    // The address is "ip:port". The timeout covers a call from send() to the first bytes of its
+    // answer, and then each pause between bytes.
     HttpClient(DutyThread &thread, const std::string &address, Duration timeout);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
@@ -78,8 +79,9 @@
     void send(HttpRequest request, HttpCallback callback);
     // As above, with a timeout of its own.
     void send(HttpRequest request, Duration timeout, HttpCallback callback);
-    // Ends all calls on a connection with DeadlineExceeded and closes every connection. For a
-    // server whose open connections are silent while new ones work.
+    // Ends all calls on a connection with DeadlineExceeded and closes every connection, except
+    // those on which an answer is arriving. For a server whose open connections are silent while
+    // new ones work.
     void abortOpenCalls();
 
 private:
--- a/src/services/storecircuitbreaker.cpp
+++ b/src/services/storecircuitbreaker.cpp
@@ -50,7 +50,7 @@
         };
         auto onPartialAnswer = [this, alive, sent, attemptNumber](const AnswerProgress &progress) {
             if (*alive)
-                onProgress(*sent, attemptNumber, progress);
+                onProgress(sent, attemptNumber, progress);
         };
         send(pollTime, AnswerCallback<Result>(std::move(onAnswer), std::move(onPartialAnswer)));
     };
@@ -95,17 +95,21 @@
     if (call->holdsSlot)
         ++openReads_;
     parts_.timers.cancel(call->deadlineTimer);
-    parts_.timers.cancel(call->timeoutTimer);
     const Duration callTimeout =
         call == trial_ ? health_.trialTimeout(call->sentAt) : health_.callTimeout();
-    call->timeoutTimer =
-        parts_.timers.subscribeAfter(longPollTime + callTimeout, [this, alive = alive_, call] {
-            if (*alive)
-                onCallTimeout(call);
-        });
+    startCallTimeout(call, longPollTime + callTimeout);
     call->send(call, longPollTime);
 }
 
+void StoreCircuitBreaker::startCallTimeout(const CallPtr &call, Duration timeout)
+{
+    parts_.timers.cancel(call->timeoutTimer);
+    call->timeoutTimer = parts_.timers.subscribeAfter(timeout, [this, alive = alive_, call] {
+        if (*alive)
+            onCallTimeout(call);
+    });
+}
+
 void StoreCircuitBreaker::wait(const CallPtr &call)
 {
     parts_.timers.cancel(call->timeoutTimer);
@@ -135,15 +139,12 @@
                                    const absl::Status &status)
 {
     // An earlier attempt may be answered while the call is queued or sent again.
-    const Duration latency =
-        std::max(Duration(0), parts_.timers.now() - call->sentAt - call->longPollTime);
+    const Duration latency = call->progress.received != 0
+        ? call->latency
+        : std::max(Duration(0), parts_.timers.now() - call->sentAt - call->longPollTime);
     if (attemptNumber == call->attempts)
         releaseSlot(*call);
-    // The answer to a call sent before a refusal does not show that the service accepts calls
-    // again.
-    const bool isCurrent =
-        health_.state() != decision::StoreState::Refusing || call->sentAt >= refusedAt_;
-    if (isAnswer(status) && isCurrent)
+    if (isAnswer(status) && isCurrent(*call))
         onAnswered(latency);
     // The failure of an earlier attempt is ignored: it may have hung since the outage, and would
     // open the breaker again right after the recovery.
@@ -192,10 +193,27 @@
     isAbortingOpenCalls_ = false;
 }
 
-void StoreCircuitBreaker::onProgress(Call &call, int attemptNumber, const AnswerProgress &progress)
+// The answer to a call sent before a refusal does not show that the service accepts calls again.
+bool StoreCircuitBreaker::isCurrent(const Call &call) const
+{
+    return health_.state() != decision::StoreState::Refusing || call.sentAt >= refusedAt_;
+}
+
+// The first bytes of an answer show that the service is available. The timeout then applies to each
+// pause, as a large answer takes longer on a slow link.
+void StoreCircuitBreaker::onProgress(const CallPtr &call, int attemptNumber,
+                                     const AnswerProgress &progress)
 {
-    if (attemptNumber == call.attempts)
-        call.progress = progress;
+    if (attemptNumber != call->attempts || call->done || call->waiting)
+        return;
+    const bool isFirst = call->progress.received == 0;
+    call->progress = progress;
+    startCallTimeout(call, health_.callTimeout());
+    if (!isFirst)
+        return;
+    call->latency = std::max(Duration(0), parts_.timers.now() - call->sentAt - call->longPollTime);
+    if (isCurrent(*call))
+        onAnswered(call->latency);
 }
 
 // A read is queued again. A late answer to the attempt that timed out still counts.
--- a/src/services/storecircuitbreaker.h
+++ b/src/services/storecircuitbreaker.h
@@ -34,7 +34,8 @@
         Duration timeout;
         // Opens and closes a connection to the service; passes whether that succeeded.
         std::function<void(std::function<void(bool)>)> probe;
-        // Ends all calls in flight at the table service and closes its connections.
+        // Ends the calls in flight at the table service whose answers are not arriving, and closes
+        // their connections.
         std::function<void()> abortOpenCalls;
         // Returns a random number from 0 to 1.
         std::function<double()> jitter;
@@ -80,8 +81,9 @@
         bool holdsSlot = false;
         Instant sentAt {};
         int attempts = 0;
-        // Of the current attempt.
+        // Of the current attempt, and the time until its answer began to arrive.
         AnswerProgress progress;
+        Duration latency {0};
         TimerId timeoutTimer = 0;
         TimerId deadlineTimer = 0;
     };
@@ -98,7 +100,10 @@
     void readPage();
     void onPage(absl::StatusOr<TablePage> page);
     void onCallTimeout(const CallPtr &call);
-    void onProgress(Call &call, int attemptNumber, const AnswerProgress &progress);
+    void startCallTimeout(const CallPtr &call, Duration timeout);
+    void onProgress(const CallPtr &call, int attemptNumber, const AnswerProgress &progress);
+    // Whether an answer to the call shows that the service accepts calls now.
+    bool isCurrent(const Call &call) const;
     void onAnswered(Duration latency);
     void recordFailure(const Call &call, const absl::Status &status, Duration latency);
     // Reports a lost service, with the call that revealed it, if the state has changed.
