Relay: changes that are larger than their table are refused, and the table is read

A host that had lost the store or its relay asked for the changes after what it knew, and the store answers with every version of each row, up to 1 MB of values in one answer: five versions of a configuration of 239 KB, 1.6 MB as sent. Thirteen missed versions took three such answers, 4.1 MB or 3.3 s on 10 Mbit/s, all but the last of them outdated, while a version was written each second. The time to catch up grew with the length of the outage.

Progress reports now let the caller refuse the rest of an answer. When the size of an answer is known and its rest is more than twice the table (and over 512 KB, so that a row that has grown passes), the call ends, the connection is closed, and the follower reads the table as after an expired history: one version. A relay that reads a table again keeps the differences to its known version, so that its subscribers need not read it. Refusals that arrive in pieces aren't progress.

With the limit out of reach the new cases of tablerelay_test, relaychoice_test and largeconfiguration_test fail.

--- a/src/bench/relaymodel.cpp
+++ b/src/bench/relaymodel.cpp
@@ -342,7 +342,10 @@
     }
     if (received != 0) {
         openCalls[id].receivedAt = timers.now();
-        callback.reportProgress({received, bytes});
+        if (!callback.reportProgress({received, bytes})) {
+            openCalls.erase(id);
+            return callback(absl::CancelledError("the rest of the answer was refused"));
+        }
     }
     const std::size_t next = isSmall ? std::min(pieceBytes, bytes - received) : bytes - received;
     timers.subscribeAt(arrivalOf(next), [this, id, answer, received = received + next, callback] {
--- a/src/decision/relaychoice.cpp
+++ b/src/decision/relaychoice.cpp
@@ -19,6 +19,11 @@
 constexpr Duration maxDiscoveryWait = std::chrono::seconds(5);
 constexpr Duration minPollWait = std::chrono::milliseconds(500);
 
+// An answer is larger than the rows in it, as they are encoded as text: by about a third.
+constexpr std::size_t minAnswerToTable = 2;
+// A smaller answer may be a single row that has grown.
+constexpr std::size_t minRefusedBytes = 512u << 10;
+
 // FNV-1a: unlike std::hash, the same in every build.
 std::uint64_t hashOf(const std::string &text)
 {
@@ -115,6 +120,11 @@
     return scaled(wait, minAgeFraction + ageFractionSpread * draw);
 }
 
+bool isLargerThanTable(std::size_t remainingBytes, std::size_t tableBytes)
+{
+    return remainingBytes >= minRefusedBytes && remainingBytes > minAnswerToTable * tableBytes;
+}
+
 Duration relayDiscoveryDelay(Duration wait, double draw, bool hasCapacity)
 {
     const double factor = hasCapacity
--- a/src/decision/relaychoice.h
+++ b/src/decision/relaychoice.h
@@ -71,6 +71,11 @@
 // to 1, spreads subscribers that lose their relays at the same time.
 Duration maxConfirmationAge(Duration wait, double draw);
 
+// Whether the rest of an answer with changes is so much larger than the table that the table is
+// read instead: the answer holds many versions of the same rows. Takes the bytes of the answer that
+// have not arrived, and the size of the table's keys and values.
+bool isLargerThanTable(std::size_t remainingBytes, std::size_t tableBytes);
+
 // Delay before each search for a relay by a host that knows none. The first hosts to search find
 // none, follow the tables themselves and claim groups; later ones find these as relays. Hosts with
 // capacity search first, so that they are the ones that claim groups. When all hosts drew from the
--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -29,6 +29,7 @@
 // Limits of the wait for a snapshot from a relay: until a relay is known, and for each part.
 constexpr Duration maxRelayDiscoveryTime = std::chrono::seconds(7);
 constexpr Duration maxRelaySilence = std::chrono::milliseconds(1200);
+constexpr char changesTooLarge[] = "the changes are larger than the table";
 // Smaller rows are always sent whole.
 constexpr std::size_t minLargeRowBytes = 2u << 10;
 
@@ -57,6 +58,16 @@
     return change.row.row.key.size() + change.row.row.value.size() + change.difference.size();
 }
 
+std::size_t TableRelay::sizeOf(const Table &table)
+{
+    std::size_t bytes = 0;
+    for (const Change &change : table.history)
+        bytes += change.row.row.key.size() + change.row.row.value.size();
+    for (const auto &[key, row] : table.largeRows)
+        bytes += row.value.size();
+    return bytes;
+}
+
 bool TableRelay::isLarge(const services::TableRow &row)
 {
     return row.value.size() >= minLargeRowBytes;
@@ -76,7 +87,9 @@
 // Relays and hosts that can own groups read from the service; the others wait for a relay.
 void TableRelay::snapshot(const std::string &table, services::SnapshotCallback callback)
 {
-    if (parts_.hasCapacity || table == parts_.candidateTable || isRelay())
+    const auto known = tables_.find(table);
+    const bool isServiceAnswering = known != tables_.end() && known->second.needsSnapshot;
+    if (parts_.hasCapacity || table == parts_.candidateTable || isRelay() || isServiceAnswering)
         return readSnapshot(table, std::move(callback));
     pendingSnapshots_[table].callback = std::move(callback);
     startSnapshotTimer(table, relays_.empty() ? maxRelayDiscoveryTime : maxRelaySilence);
@@ -212,24 +225,25 @@
 }
 
 // Fills the history with all rows, so that new subscribers can be served from it.
-void TableRelay::resetHistory(Table &table, const services::TableSnapshot &snapshot)
+void TableRelay::resetHistory(Table &table, const services::TableSnapshot &snapshot) const
 {
+    std::deque<Change> history;
+    std::map<std::string, LargeRow> largeRows;
+    for (const services::TableRow &row : snapshot.rows) {
+        Change change = changeOf(table, {row, false});
+        if (change.isLarge)
+            largeRows[row.key] = {versionOf(row),
+                                  std::exchange(change.row.row.value, std::string())};
+        history.push_back(std::move(change));
+    }
     table.isKnown = true;
     table.hasAllRows = true;
+    table.needsSnapshot = false;
     table.from = 0;
     table.upTo = snapshot.next;
     table.needsPoll = false;
-    table.history.clear();
-    table.largeRows.clear();
-    for (const services::TableRow &row : snapshot.rows) {
-        Change change;
-        change.row.row = row;
-        change.isLarge = isLarge(row);
-        if (change.isLarge)
-            table.largeRows[row.key] = {versionOf(row),
-                                        std::exchange(change.row.row.value, std::string())};
-        table.history.push_back(std::move(change));
-    }
+    table.history.swap(history);
+    table.largeRows.swap(largeRows);
     std::sort(table.history.begin(), table.history.end(), [](const Change &a, const Change &b) {
         return versionOf(a.row.row) < versionOf(b.row.row);
     });
@@ -246,6 +260,13 @@
     known.after = after;
     known.wait = wait;
     known.callback = std::move(callback);
+    if (known.needsSnapshot) {
+        parts_.timers.subscribeAt(parts_.timers.now(), [this, alive = alive_, table] {
+            if (*alive && tables_[table].needsSnapshot)
+                failRequest(tables_[table], absl::OutOfRangeError(changesTooLarge));
+        });
+        return;
+    }
     if (!known.isKnown || after < known.from || after > known.upTo) {
         known.isKnown = true;
         known.from = known.upTo = after;
@@ -347,12 +368,36 @@
     table.pendingPollWait = wait;
     table.polledAt = parts_.timers.now();
     table.needsPoll = false;
+    auto onAnswer = [this, alive = alive_, name = table.name,
+                     poll](const absl::StatusOr<services::TableChanges> &answer) {
+        if (*alive)
+            onPollAnswer(tables_[name], poll, answer);
+    };
+    auto onProgress = [this, alive = alive_,
+                       name = table.name](const services::AnswerProgress &progress) {
+        return !*alive || acceptsAnswer(tables_[name], progress);
+    };
     parts_.store.changes(table.name, table.upTo, wait,
-                         [this, alive = alive_, name = table.name,
-                          poll](absl::StatusOr<services::TableChanges> answer) {
-                             if (*alive)
-                                 onPollAnswer(tables_[name], poll, answer);
-                         });
+                         {std::move(onAnswer), std::move(onProgress)});
+}
+
+// Refuses changes that are larger than the table. After an outage each version of a large row is
+// among them, and on a slow link more versions may be written than arrive.
+bool TableRelay::acceptsAnswer(const Table &table, const services::AnswerProgress &progress)
+{
+    const std::size_t remaining =
+        progress.bodySize - std::min(progress.bodySize, progress.received);
+    return !table.hasAllRows || !decision::isLargerThanTable(remaining, sizeOf(table));
+}
+
+void TableRelay::failRequest(Table &table, const absl::Status &status)
+{
+    if (!table.hasRequest)
+        return;
+    table.hasRequest = false;
+    const auto callback = std::move(table.callback);
+    table.callback = nullptr;
+    callback(status);
 }
 
 void TableRelay::onPollAnswer(Table &table, std::uint64_t poll,
@@ -363,12 +408,9 @@
     if (!answer.ok()) {
         // The follower reads a new snapshot or repeats its request.
         table.isKnown = false;
-        if (!table.hasRequest)
-            return;
-        table.hasRequest = false;
-        const auto callback = std::move(table.callback);
-        table.callback = nullptr;
-        return callback(answer.status());
+        table.needsSnapshot = absl::IsCancelled(answer.status());
+        return failRequest(
+            table, table.needsSnapshot ? absl::OutOfRangeError(changesTooLarge) : answer.status());
     }
     logAnswer(table, *answer);
     std::vector<Change> changes;
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -103,6 +103,8 @@
         std::deque<Change> history;
         // Whether the history started from a snapshot and so holds every row.
         bool hasAllRows = false;
+        // Set until the table has been read from the service, as the changes are larger.
+        bool needsSnapshot = false;
         // Length of the history after its last compaction.
         std::size_t compactedSize = 0;
         // Newest value of each large row; the base of the next difference.
@@ -155,6 +157,8 @@
 
     static std::uint64_t versionOf(const services::TableRow &row);
     static std::size_t sizeOf(const Change &change);
+    // Size of the newest state of all rows.
+    static std::size_t sizeOf(const Table &table);
     static bool isLarge(const services::TableRow &row);
 
     // First snapshot of a table, from the service or from a relay.
@@ -172,10 +176,12 @@
     void pollDueTables();
     Instant pollDueAt(const Table &table) const;
     void startPoll(Table &table, Duration wait, const char *why);
+    static bool acceptsAnswer(const Table &table, const services::AnswerProgress &progress);
+    static void failRequest(Table &table, const absl::Status &status);
     void onPollAnswer(Table &table, std::uint64_t poll,
                       const absl::StatusOr<services::TableChanges> &answer);
     void logAnswer(const Table &table, const services::TableChanges &answer) const;
-    static void resetHistory(Table &table, const services::TableSnapshot &snapshot);
+    void resetHistory(Table &table, const services::TableSnapshot &snapshot) const;
     void appendChanges(Table &table, std::vector<Change> changes, std::uint64_t upTo);
     static void compactHistory(Table &table);
     static std::deque<Change>::const_iterator firstAfter(const Table &table, std::uint64_t version);
--- a/src/services/answercallback.h
+++ b/src/services/answercallback.h
@@ -9,7 +9,7 @@
 
 namespace kelptally::services {
 
-// How much of an answer has arrived, in bytes, header included.
+// How much of a successful answer has arrived, in bytes, header included.
 struct AnswerProgress
 {
     std::size_t received = 0;
@@ -17,7 +17,8 @@
     std::size_t bodySize = 0;
 };
 
-using ProgressCallback = std::function<void(const AnswerProgress &)>;
+// Returns whether to go on receiving; the call ends with Cancelled otherwise.
+using ProgressCallback = std::function<bool(const AnswerProgress &)>;
 
 // Callback of a call to a service, called exactly once with the answer or an error. Before that a
 // transport may report the progress of the answer, by which its caller tells a large answer from
@@ -40,10 +41,10 @@
 
     void operator()(absl::StatusOr<Result> answer) const { onAnswer_(std::move(answer)); }
     explicit operator bool() const { return static_cast<bool>(onAnswer_); }
-    void reportProgress(const AnswerProgress &progress) const
+    // Returns whether to go on receiving.
+    bool reportProgress(const AnswerProgress &progress) const
     {
-        if (onProgress_)
-            onProgress_(progress);
+        return !onProgress_ || onProgress_(progress);
     }
     // For a call that this one is made of; empty if the caller does not watch the progress.
     const ProgressCallback &progressCallback() const { return onProgress_; }
--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -120,7 +120,7 @@
     ConnectionPtr takeConnection(const Call &call);
     void startTimeout(const CallPtr &call, Instant at);
     void startSilenceTimer(const CallPtr &call);
-    void onProgress(const CallPtr &call, const AnswerProgress &progress);
+    void onProgress(const CallPtr &call, const AnswerProgress &progress, bool isSuccess);
     bool isArriving(const Call &call) const;
     void onSilenceTimeout(const CallPtr &call);
     void closeConnectionOf(const CallPtr &call);
@@ -257,7 +257,9 @@
         progress.bodySize = parser_->content_length().value_or(0);
     if (parser_->is_done())
         return onResponse();
-    pool->onProgress(call, progress);
+    const bool isSuccess = parser_->is_header_done()
+        && http::to_status_class(parser_->get().result()) == http::status_class::successful;
+    pool->onProgress(call, progress, isSuccess);
     // The callback may have ended the call.
     if (call_ == call)
         readSome();
@@ -347,7 +349,8 @@
 }
 
 // An answer that is arriving is neither silent nor late, as its size is not known beforehand.
-void HttpClient::Pool::onProgress(const CallPtr &call, const AnswerProgress &progress)
+void HttpClient::Pool::onProgress(const CallPtr &call, const AnswerProgress &progress,
+                                  bool isSuccess)
 {
     const Instant now = timers_.now();
     if (call->progress.received == 0)
@@ -356,7 +359,11 @@
     call->progress = progress;
     timers_.cancel(call->silenceTimer);
     startTimeout(call, std::min(now + call->timeout, call->firstReceivedAt + maxTransferTime));
-    call->callback.reportProgress(progress);
+    // Part of a refusal is not a part of the answer.
+    if (!isSuccess || call->callback.reportProgress(progress) || call->done)
+        return;
+    closeConnectionOf(call);
+    finish(call, absl::CancelledError(address_ + ": the rest of the answer was refused"));
 }
 
 bool HttpClient::Pool::isArriving(const Call &call) const
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -61,11 +61,11 @@
 // within send(). Destroying the client drops open calls without a callback.
 //
 // Errors: Unavailable when nothing of the request was sent; DeadlineExceeded when it was sent and
-// the answer did not arrive in time; Unknown when the connection broke after it was sent. A GET
-// that fails or gets no answer on a reused connection is retried once on a new one; other requests
-// are never retried. An aborted call resets its connection, so that its request can't arrive later.
-// As idle connections may be dead without a reset, other requests than GET use a new connection or
-// one that answered recently.
+// the answer did not arrive in time; Cancelled when its caller refused the rest of the answer;
+// Unknown when the connection broke after it was sent. A GET that fails or gets no answer on a
+// reused connection is retried once on a new one; other requests are never retried. An aborted call
+// resets its connection, so that its request can't arrive later. As idle connections may be dead
+// without a reset, other requests than GET use a new connection or one that answered recently.
 class HttpClient
 {
 public:
--- a/src/services/storecircuitbreaker.cpp
+++ b/src/services/storecircuitbreaker.cpp
@@ -18,7 +18,7 @@
 bool isAnswer(const absl::Status &status)
 {
     return status.ok() || absl::IsOutOfRange(status) || absl::IsFailedPrecondition(status)
-        || absl::IsInternal(status) || absl::IsInvalidArgument(status);
+        || absl::IsInternal(status) || absl::IsInvalidArgument(status) || absl::IsCancelled(status);
 }
 
 } // namespace
@@ -48,9 +48,15 @@
             if (*alive && onResult(sent, attemptNumber, result.status()))
                 callback(std::move(result));
         };
-        auto onPartialAnswer = [this, alive, sent, attemptNumber](const AnswerProgress &progress) {
-            if (*alive)
-                onProgress(sent, attemptNumber, progress);
+        // An earlier attempt may have been answered meanwhile; the rest of this answer is not
+        // needed.
+        auto onPartialAnswer = [this, alive, sent, attemptNumber,
+                                callback](const AnswerProgress &progress) {
+            if (!*alive)
+                return true;
+            if (sent->done)
+                return false;
+            return !onProgress(sent, attemptNumber, progress) || callback.reportProgress(progress);
         };
         send(pollTime, AnswerCallback<Result>(std::move(onAnswer), std::move(onPartialAnswer)));
     };
@@ -201,19 +207,20 @@
 
 // The first bytes of an answer show that the service is available. The timeout then applies to each
 // pause, as a large answer takes longer on a slow link.
-void StoreCircuitBreaker::onProgress(const CallPtr &call, int attemptNumber,
+bool StoreCircuitBreaker::onProgress(const CallPtr &call, int attemptNumber,
                                      const AnswerProgress &progress)
 {
     if (attemptNumber != call->attempts || call->done || call->waiting)
-        return;
+        return false;
     const bool isFirst = call->progress.received == 0;
     call->progress = progress;
     startCallTimeout(call, health_.callTimeout());
     if (!isFirst)
-        return;
+        return true;
     call->latency = std::max(Duration(0), parts_.timers.now() - call->sentAt - call->longPollTime);
     if (isCurrent(*call))
         onAnswered(call->latency);
+    return true;
 }
 
 // A read is queued again. A late answer to the attempt that timed out still counts.
--- a/src/services/storecircuitbreaker.h
+++ b/src/services/storecircuitbreaker.h
@@ -101,7 +101,8 @@
     void onPage(absl::StatusOr<TablePage> page);
     void onCallTimeout(const CallPtr &call);
     void startCallTimeout(const CallPtr &call, Duration timeout);
-    void onProgress(const CallPtr &call, int attemptNumber, const AnswerProgress &progress);
+    // Returns whether the progress is that of the current attempt.
+    bool onProgress(const CallPtr &call, int attemptNumber, const AnswerProgress &progress);
     // Whether an answer to the call shows that the service accepts calls now.
     bool isCurrent(const Call &call) const;
     void onAnswered(Duration latency);
--- a/src/services/tablefollower.cpp
+++ b/src/services/tablefollower.cpp
@@ -94,7 +94,9 @@
             changes->changes.empty() ? Duration(0) : pace_.pauseAfterChanges(parts_.timers.now()));
     }
     if (absl::IsOutOfRange(changes.status())) {
-        parts_.log.info("table_history_expired").with("table", table_);
+        parts_.log.info("table_history_expired")
+            .with("table", table_)
+            .with("cause", changes.status().message());
         return readSnapshot();
     }
     updateReachability(changes.status());
--- a/src/services/tableservice.h
+++ b/src/services/tableservice.h
@@ -113,8 +113,9 @@
     // Passes the rows from the key on, as many as the service sends in one answer. The default
     // implementation passes all rows.
     virtual void page(const std::string &table, const std::string &from, PageCallback callback);
-    // Answers with the next changes, or with none after the wait. OutOfRange when the service no
-    // longer has the changes after this version: the caller has to take a snapshot.
+    // Answers with the next changes, or with none after the wait. OutOfRange when the changes after
+    // this version are not available, or are much larger than the table: the caller has to take a
+    // snapshot.
     virtual void changes(const std::string &table, std::uint64_t after, Duration wait,
                          ChangesCallback callback) = 0;
 };
--- a/tests/decision/relaychoice_test.cpp
+++ b/tests/decision/relaychoice_test.cpp
@@ -93,3 +93,16 @@
     // Spread in time even if all hosts have capacity.
     CHECK(relayDiscoveryDelay(5s, 1, true) >= 3s);
 }
+
+TEST_CASE("Changes are refused if they are large and much larger than the table")
+{
+    constexpr std::size_t table = 240'000;
+    constexpr std::size_t encodedTable = 320'000;
+    CHECK(!isLargerThanTable(encodedTable, table));
+    CHECK(isLargerThanTable(2 * encodedTable, table));
+    CHECK(isLargerThanTable(1'600'000, 12'000));
+    // A row that has grown, and a table of small rows.
+    CHECK(!isLargerThanTable(encodedTable, 12'000));
+    CHECK(!isLargerThanTable(50'000, 1'000));
+    CHECK(!isLargerThanTable(0, 0));
+}
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -1,5 +1,6 @@
 #include "core/manualtimerservice.h"
 #include "host/tablerelay.h"
+#include "services/tablefollower.h"
 #include "services/textdifference.h"
 
 #include <catch2/catch.hpp>
@@ -17,7 +18,8 @@
     {
         ++snapshots;
         services::TableSnapshot snapshot;
-        snapshot.next = 100;
+        snapshot.rows = rows;
+        snapshot.next = next;
         snapshot.serviceTime = serviceTime;
         callback(snapshot);
     }
@@ -29,6 +31,9 @@
     }
 
     int snapshots = 0;
+    // Content of a snapshot.
+    std::vector<services::TableRow> rows;
+    std::uint64_t next = 100;
     std::optional<Duration> serviceTime;
     std::vector<std::pair<std::uint64_t, Duration>> polls;
     services::ChangesCallback answer;
@@ -294,6 +299,44 @@
     CHECK(known[11] == document(3));
 }
 
+// Guards against reading each version of a large row after an outage.
+TEST_CASE_METHOD(Fixture, "Changes larger than the table are refused, and the table is read")
+{
+    const std::string value = document(1);
+    services::TableSnapshot table;
+    table.next = 100;
+    table.rows.push_back({"a", value, "100"});
+    store.rows = table.rows;
+    std::vector<std::string> versions;
+    services::TableFollower follower(
+        {timers, relay, log}, "u", wait,
+        {[&](const services::TableRow &row) { versions.push_back(row.etag); },
+         [](const std::string &) {}, [] {}});
+    follower.start();
+    relay.onSubscribe(1, {{{"u", 100}}, true, true});
+    timers.advance(100ms);
+    REQUIRE(versions == std::vector<std::string> {"100"});
+    const int snapshots = store.snapshots;
+    const services::ChangesCallback poll = store.answer;
+    // A single new version, and the same with most of the answer received.
+    const std::size_t encoded = value.size() * 4 / 3;
+    CHECK(poll.reportProgress({1000, encoded}));
+    CHECK(poll.reportProgress({6 * encoded, 7 * encoded}));
+    CHECK(!poll.reportProgress({1000, 20 * encoded}));
+    store.rows = {{"a", document(2), "110"}};
+    store.next = 110;
+    links.updates.clear();
+    poll(absl::CancelledError("refused"));
+    timers.advance(100ms);
+    CHECK(store.snapshots == snapshots + 1);
+    CHECK(versions == std::vector<std::string> {"100", "110"});
+    CHECK(store.polls.back().first == 110);
+    // Subscribers get the difference from the version before.
+    REQUIRE(links.updates.size() == 1);
+    REQUIRE(links.updates[0].second.rows.size() == 1);
+    CHECK(links.updates[0].second.rows[0].baseVersion == 100);
+}
+
 TEST_CASE_METHOD(Fixture,
                  "A subscriber without the base of a difference reads the row from the service")
 {
--- a/tests/services/largeanswer_test.cpp
+++ b/tests/services/largeanswer_test.cpp
@@ -50,8 +50,10 @@
             open.erase(id);
             return callback(std::move(result));
         }
-        if (received != 0)
-            callback.reportProgress({received, bytes});
+        if (received != 0 && !callback.reportProgress({received, bytes})) {
+            open.erase(id);
+            return callback(absl::CancelledError("the rest of the answer was refused"));
+        }
         const std::size_t next = std::min(pieceBytes, bytes - received);
         timers.subscribeAfter(std::chrono::nanoseconds(1'000'000'000 * next / bytesPerSecond),
                               [this, id, result, received = received + next, bytes, callback] {
@@ -176,6 +178,22 @@
     CHECK(*changes);
 }
 
+TEST_CASE_METHOD(Fixture, "An answer whose rest is refused ends the call, not the service")
+{
+    store.reachable = false;
+    absl::Status status;
+    breaker.changes("t", 1, Duration(0),
+                    {[&status](const auto &changes) { status = changes.status(); },
+                     [](const AnswerProgress &progress) { return progress.received == 0; }});
+    timers.advance(2s);
+    store.reachable = true;
+    timers.advance(recoveryTime);
+    CHECK(absl::IsCancelled(status));
+    CHECK(breaker.isAnswering());
+    CHECK(losses() == 1);
+    CHECK(store.open.empty());
+}
+
 TEST_CASE_METHOD(Fixture, "An answer that stops arriving is requested again")
 {
     const auto changes = requestChanges();
@@ -197,9 +215,10 @@
 class PiecewiseServer
 {
 public:
-    explicit PiecewiseServer(std::vector<int> piecesByAnswer)
+    explicit PiecewiseServer(std::vector<int> piecesByAnswer, std::string status = "200 OK")
         : acceptor_(context_, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-          piecesByAnswer_(std::move(piecesByAnswer)), thread_([this] { run(); })
+          piecesByAnswer_(std::move(piecesByAnswer)), status_(std::move(status)),
+          thread_([this] { run(); })
     { }
 
     ~PiecewiseServer()
@@ -244,16 +263,17 @@
     }
 
     // An answer with fewer pieces than announced stops in the middle.
-    static void send(Tcp::socket &socket, int pieces)
+    void send(Tcp::socket &socket, int pieces) const
     {
         boost::system::error_code ignored;
         const int announced = pieces == 1 ? 1 : announcedPieces;
         boost::asio::write(socket,
-                           boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: "
+                           boost::asio::buffer("HTTP/1.1 " + status_ + "\r\nContent-Length: "
                                                + std::to_string(announced * 10) + "\r\n\r\n"),
                            ignored);
-        for (int i = 0; i < pieces; ++i) {
-            boost::asio::write(socket, boost::asio::buffer(piece, 10), ignored);
+        boost::system::error_code error;
+        for (int i = 0; i < pieces && !error; ++i) {
+            boost::asio::write(socket, boost::asio::buffer(piece, 10), error);
             if (pieces > 1)
                 std::this_thread::sleep_for(pause);
         }
@@ -262,6 +282,7 @@
     boost::asio::io_context context_;
     Tcp::acceptor acceptor_;
     const std::vector<int> piecesByAnswer_;
+    const std::string status_;
     std::atomic<int> connections_ {0};
     std::atomic<bool> stopping_ {false};
     std::thread thread_;
@@ -276,15 +297,16 @@
     }
     ~ClientFixture() { thread_.stop(); }
 
-    absl::StatusOr<HttpResponse> get()
+    absl::StatusOr<HttpResponse> get(const ProgressCallback &onProgress = nullptr)
     {
         std::promise<absl::StatusOr<HttpResponse>> promise;
-        boost::asio::post(thread_.context(), [this, &promise] {
+        boost::asio::post(thread_.context(), [this, &promise, &onProgress] {
             HttpRequest request;
             request.target = "/";
-            client_.send(std::move(request), [&promise](absl::StatusOr<HttpResponse> response) {
+            const auto onResponse = [&promise](absl::StatusOr<HttpResponse> response) {
                 promise.set_value(std::move(response));
-            });
+            };
+            client_.send(std::move(request), {onResponse, onProgress});
         });
         return promise.get_future().get();
     }
@@ -318,3 +340,33 @@
     CHECK(absl::IsDeadlineExceeded(client.get().status()));
     CHECK(BootClock::now() - before < 2 * ClientFixture::timeout);
 }
+
+TEST_CASE("A client that refuses the rest of an answer closes its connection")
+{
+    PiecewiseServer server({15, 1});
+    ClientFixture client(server.address());
+    std::size_t bodySize = 0;
+    const auto response = client.get([&bodySize](const AnswerProgress &progress) {
+        bodySize = progress.bodySize;
+        return bodySize == 0;
+    });
+    CHECK(absl::IsCancelled(response.status()));
+    CHECK(bodySize == 150);
+    CHECK(client.get().ok());
+    CHECK(server.connections() == 2);
+}
+
+// Guards against a refusal that arrives in pieces and counts as a service that is back.
+TEST_CASE("Part of a refusal is not reported as progress")
+{
+    PiecewiseServer server({15}, "503 Service Unavailable");
+    ClientFixture client(server.address());
+    bool reported = false;
+    const auto response = client.get([&reported](const AnswerProgress &) {
+        reported = true;
+        return true;
+    });
+    REQUIRE(response.ok());
+    CHECK(response->status == 503);
+    CHECK(!reported);
+}
