Relay: several versions of a large row in one answer are kept as one difference

After an answer with more than one version of the configuration, as after a pause of its poll, a relay kept each as a difference from the version before the answer. Subscribers that had this version got the first difference and then the newest row whole, which is over the limit of 32 KB and left out, so each of them read it from the store: 320 KB over 10 Mbit/s. Only the last version is kept now, as one difference.

The new case of tablerelay_test fails without the change (no rows).

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -413,10 +413,7 @@
             table, table.needsSnapshot ? absl::OutOfRangeError(changesTooLarge) : answer.status());
     }
     logAnswer(table, *answer);
-    std::vector<Change> changes;
-    for (const services::RowChange &row : answer->changes)
-        changes.push_back(changeOf(table, row));
-    appendChanges(table, std::move(changes), answer->next);
+    appendChanges(table, changesOf(table, *answer), answer->next);
     confirm(table, answer->serviceTime);
     publish(table);
     deliver(table);
@@ -469,6 +466,22 @@
     return change;
 }
 
+// Of several versions of a large row only the last is kept, as a difference from the known one.
+std::vector<TableRelay::Change> TableRelay::changesOf(const Table &table,
+                                                      const services::TableChanges &answer) const
+{
+    std::map<std::string, std::string> lastVersions;
+    for (const services::RowChange &change : answer.changes)
+        lastVersions[change.row.key] = change.row.etag;
+    std::vector<Change> changes;
+    for (const services::RowChange &change : answer.changes) {
+        const bool isLast = lastVersions[change.row.key] == change.row.etag;
+        if (isLast || change.removed || !isLarge(change.row))
+            changes.push_back(changeOf(table, change));
+    }
+    return changes;
+}
+
 // Appends the changes after table.upTo; they must follow it without a gap.
 void TableRelay::appendChanges(Table &table, std::vector<Change> changes, std::uint64_t upTo)
 {
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -186,6 +186,7 @@
     static void compactHistory(Table &table);
     static std::deque<Change>::const_iterator firstAfter(const Table &table, std::uint64_t version);
     Change changeOf(const Table &table, const services::RowChange &row) const;
+    std::vector<Change> changesOf(const Table &table, const services::TableChanges &answer) const;
     std::optional<std::vector<Change>> decodeChanges(const Table &table,
                                                      const inner::TableUpdate &update) const;
     void confirm(Table &table, std::optional<Duration> serviceTime);
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -337,6 +337,34 @@
     CHECK(links.updates[0].second.rows[0].baseVersion == 100);
 }
 
+TEST_CASE_METHOD(Fixture, "Several versions of a large row are sent as one difference")
+{
+    relay.onSubscribe(1, {{{"t", 100}}, true, true});
+    const auto answer = [&](const std::vector<std::uint64_t> &versions) {
+        services::TableChanges changes;
+        for (const std::uint64_t version : versions)
+            changes.changes.push_back(
+                {{"a", document(int(version)), std::to_string(version)}, false});
+        changes.next = versions.back();
+        changes.serviceTime = clock();
+        store.answer(changes);
+        timers.advance(1s);
+    };
+    answer({101});
+    relay.onSubscribe(2, {{{"t", 101}}, true, true});
+    links.updates.clear();
+    answer({103, 105, 107});
+    REQUIRE(links.updates.size() == 2);
+    for (const auto &[link, update] : links.updates) {
+        if (link != 2)
+            continue;
+        REQUIRE(update.rows.size() == 1);
+        CHECK(update.rows[0].baseVersion == 101);
+        CHECK(update.rows[0].version == 107);
+        CHECK(*services::applyDifference(document(101), update.rows[0].value) == document(107));
+    }
+}
+
 TEST_CASE_METHOD(Fixture,
                  "A subscriber without the base of a difference reads the row from the service")
 {
