Tests: a link closes as silent while a large message arrives; fails

Found while looking for the cause of the late configuration elsewhere: a time limit that knows no size. A link counts what it received by whole messages, so one that arrives for longer than the silence timeout closes the link, and it is sent again from the start on the next one. largemessage_test sends 512 KB at 400 KB/s with a timeout of 0.6 s: closed after 0.78 s, the message never arrives.

No functional change

--- a/tests/inner/linkfixtures.h
+++ b/tests/inner/linkfixtures.h
@@ -60,6 +60,10 @@
     {
         return wait([&] { return messages.size() >= count; });
     }
+    bool waitForMessageOrDown()
+    {
+        return wait([&] { return !messages.empty() || !downs.empty(); });
+    }
     bool waitForDowns(std::size_t count)
     {
         return wait([&] { return downs.size() >= count; });
