Relay: rows that are gone when a table is read again are sent as removed

After such a read, or one after an expired history, the relay's history held the rows that there are and claimed to reach back to the start, so a subscriber never learnt that a row had been removed meanwhile: a server that is gone stays on its list until its entry there proves wrong.

The relay now keeps the rows that it knew and that are gone as removed at the version of the read, and its history begins at the version that it knew before: subscribers further behind, which may miss an earlier removal, read from the store. The new case of tablerelay_test fails before (removed row missing, no omission for the one behind).

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -236,10 +236,20 @@
                                   std::exchange(change.row.row.value, std::string())};
         history.push_back(std::move(change));
     }
+    // Subscribers that know the previous state learn which of its rows are gone.
+    for (const std::string &key : missingRows(table, snapshot)) {
+        Change change;
+        change.row.row.key = key;
+        change.row.row.etag = std::to_string(snapshot.next);
+        change.row.removed = true;
+        history.push_back(std::move(change));
+    }
+    // Rows that were removed before the previous state are not known, nor are those of a state with
+    // only a part of the rows.
+    table.from = table.hasAllRows ? table.upTo : table.upTo == 0 ? 0 : snapshot.next;
     table.isKnown = true;
     table.hasAllRows = true;
     table.needsSnapshot = false;
-    table.from = 0;
     table.upTo = snapshot.next;
     table.needsPoll = false;
     table.history.swap(history);
@@ -250,6 +260,22 @@
     table.compactedSize = table.history.size();
 }
 
+// Returns the keys of the known rows that are not in the snapshot.
+std::set<std::string> TableRelay::missingRows(const Table &table,
+                                              const services::TableSnapshot &snapshot)
+{
+    std::set<std::string> keys;
+    for (const Change &change : table.history) {
+        if (change.row.removed)
+            keys.erase(change.row.row.key);
+        else
+            keys.insert(change.row.row.key);
+    }
+    for (const services::TableRow &row : snapshot.rows)
+        keys.erase(row.key);
+    return keys;
+}
+
 void TableRelay::changes(const std::string &table, std::uint64_t after, Duration wait,
                          services::ChangesCallback callback)
 {
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -182,6 +182,8 @@
                       const absl::StatusOr<services::TableChanges> &answer);
     void logAnswer(const Table &table, const services::TableChanges &answer) const;
     void resetHistory(Table &table, const services::TableSnapshot &snapshot) const;
+    static std::set<std::string> missingRows(const Table &table,
+                                             const services::TableSnapshot &snapshot);
     void appendChanges(Table &table, std::vector<Change> changes, std::uint64_t upTo);
     static void compactHistory(Table &table);
     static std::deque<Change>::const_iterator firstAfter(const Table &table, std::uint64_t version);
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -337,6 +337,36 @@
     CHECK(links.updates[0].second.rows[0].baseVersion == 100);
 }
 
+// Guards against subscribers that keep a row which was removed before their relay read the table.
+TEST_CASE_METHOD(Fixture, "Rows that are gone when a relay reads a table again are sent as removed")
+{
+    store.rows = {{"a", "1", "98"}, {"b", "1", "99"}, {"c", "1", "100"}};
+    relay.snapshot("u", [](const auto &) {});
+    relay.onSubscribe(1, {{{"u", 100}}, true, true});
+    relay.onSubscribe(2, {{{"u", 97}}, true, true});
+    links.updates.clear();
+    store.rows = {{"a", "1", "98"}, {"c", "2", "104"}};
+    store.next = 105;
+    relay.snapshot("u", [](const auto &) {});
+    timers.advance(10ms);
+    REQUIRE(!links.updates.empty());
+    std::map<std::string, bool> removed;
+    for (const auto &[link, update] : links.updates) {
+        if (link != 1)
+            continue;
+        CHECK(update.upTo == 105);
+        for (const inner::TableUpdateRow &row : update.rows)
+            removed[row.key] = row.removed;
+    }
+    CHECK(removed == std::map<std::string, bool> {{"b", true}, {"c", false}});
+    // A subscriber further behind may have rows that were removed before.
+    relay.onSubscribe(3, {{{"u", 90}}, true, true});
+    CHECK(links.updates.back().second.rowsOmitted);
+    // A new one gets the rows that there are.
+    relay.onSubscribe(4, {{{"u", 0}}, true, true});
+    CHECK(!links.updates.back().second.rowsOmitted);
+}
+
 TEST_CASE_METHOD(Fixture, "Several versions of a large row are sent as one difference")
 {
     relay.onSubscribe(1, {{{"t", 100}}, true, true});
