HTTP client: overdue calls no longer hold back a call to a recovered service

Callers saw groups without an owner for up to a second after the store's return. Trial calls of the circuit breaker are given up after 250 to 800 ms, but each kept one of the client's four connections for 2 s.

Connections whose answer is overdue by 500 ms no longer count towards the limit; twelve may be open in all.

Test: "A read is sent although earlier ones hold all connections without an answer" failed before (no answer in 4 s) and passes now.

--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -27,12 +27,15 @@
 
 // More than one, so that a slow call doesn't block the others.
 constexpr std::size_t maxConnections = 4;
+// Connections with an overdue answer don't count towards maxConnections, only towards this limit.
+// Otherwise a call to a service that has just recovered waits until those before it time out.
+constexpr std::size_t maxOpenConnections = 12;
 constexpr std::size_t maxQueued = 256;
 // Holds the largest configuration document as escaped JSON.
 constexpr std::uint64_t maxResponseBytes = 16u << 20;
 constexpr unsigned httpVersion = 11;
-// A GET without an answer for this long on a reused connection is retried on a new one. An answer
-// that pauses for this long is no longer arriving.
+// A GET without an answer for this long on a reused connection is retried on a new one, and an
+// answer is overdue. An answer that pauses for this long is no longer arriving.
 constexpr Duration silenceTimeout = std::chrono::milliseconds(500);
 // Maximum time for which an answer may arrive, however steadily.
 constexpr Duration maxTransferTime = std::chrono::seconds(30);
@@ -82,6 +85,8 @@
     TimerId silenceTimer = 0;
     // Whether any byte may have been sent.
     bool sent = false;
+    // When a connection was assigned to the call.
+    Instant startedAt {};
     AnswerProgress progress;
     // When the first and the last bytes of the answer arrived.
     Instant firstReceivedAt {};
@@ -118,6 +123,8 @@
 
     void dispatch();
     ConnectionPtr takeConnection(const Call &call);
+    Duration timeUntilOverdue(const Call &call) const;
+    void dispatchWhenOverdue();
     void startTimeout(const CallPtr &call, Instant at);
     void startSilenceTimer(const CallPtr &call);
     void onProgress(const CallPtr &call, const AnswerProgress &progress, bool isSuccess);
@@ -138,6 +145,7 @@
     std::deque<CallPtr> queue_;
     std::vector<ConnectionPtr> idle_;
     std::vector<ConnectionPtr> busy_;
+    TimerId overdueTimer_ = 0;
 };
 
 // A connection, with one call at a time. It is closed after any failure.
@@ -377,9 +385,10 @@
         const CallPtr call = queue_.front();
         const ConnectionPtr connection = takeConnection(*call);
         if (!connection)
-            return;
+            return dispatchWhenOverdue();
         queue_.pop_front();
         busy_.push_back(connection);
+        call->startedAt = timers_.now();
         connection->run(call);
         if (connection->isReused() && !call->retried && call->request.method == HttpMethod::Get)
             startSilenceTimer(call);
@@ -399,11 +408,43 @@
             return connection;
         connection->close();
     }
-    if (busy_.size() >= maxConnections)
+    const auto counts = [this](const ConnectionPtr &connection) {
+        return !connection->call() || timeUntilOverdue(*connection->call()) > Duration(0);
+    };
+    const auto counted = std::count_if(busy_.begin(), busy_.end(), counts);
+    if (static_cast<std::size_t>(counted) >= maxConnections || busy_.size() >= maxOpenConnections)
         return nullptr;
     return std::make_shared<Connection>(shared_from_this());
 }
 
+// Returns zero or less if the answer is overdue.
+Duration HttpClient::Pool::timeUntilOverdue(const Call &call) const
+{
+    const Instant lastProgress = call.progress.received == 0
+        ? call.startedAt + call.request.longPollTime
+        : call.lastReceivedAt;
+    return lastProgress + silenceTimeout - timers_.now();
+}
+
+// Dispatches again once a connection no longer counts towards the limit.
+void HttpClient::Pool::dispatchWhenOverdue()
+{
+    if (busy_.size() >= maxOpenConnections)
+        return;
+    Duration delay = Duration::max();
+    for (const ConnectionPtr &connection : busy_)
+        if (connection->call() && timeUntilOverdue(*connection->call()) > Duration(0))
+            delay = std::min(delay, timeUntilOverdue(*connection->call()));
+    if (delay == Duration::max())
+        return;
+    const std::weak_ptr<Pool> weak = shared_from_this();
+    timers_.cancel(overdueTimer_);
+    overdueTimer_ = timers_.subscribeAfter(delay, [weak] {
+        if (const auto pool = weak.lock())
+            pool->dispatch();
+    });
+}
+
 void HttpClient::Pool::release(const ConnectionPtr &connection)
 {
     busy_.erase(std::remove(busy_.begin(), busy_.end(), connection), busy_.end());
@@ -512,6 +553,7 @@
     }
     for (const auto &call : queue_)
         timers_.cancel(call->timer);
+    timers_.cancel(overdueTimer_);
     queue_.clear();
     busy_.clear();
     idle_.clear();
--- a/tests/services/httpservices_test.cpp
+++ b/tests/services/httpservices_test.cpp
@@ -102,6 +102,55 @@
     std::thread thread_;
 };
 
+// A server that never answers its first connections. The later ones work.
+class RecoveringServer
+{
+public:
+    RecoveringServer(std::size_t silentConnections, std::string answer)
+        : acceptor_(context_, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+          silentConnections_(silentConnections), answer_(std::move(answer)),
+          thread_([this] { run(); })
+    { }
+
+    ~RecoveringServer()
+    {
+        stopping_ = true;
+        Tcp::socket wake(context_);
+        wake.connect(acceptor_.local_endpoint());
+        wake.close();
+        thread_.join();
+    }
+
+    std::string address() const
+    {
+        return PlatformFixture::addressOf(acceptor_.local_endpoint().port());
+    }
+
+private:
+    void run()
+    {
+        while (!stopping_) {
+            Tcp::socket socket = acceptor_.accept();
+            if (silent_.size() < silentConnections_) {
+                silent_.push_back(std::move(socket));
+                continue;
+            }
+            boost::system::error_code ignored;
+            boost::asio::streambuf buffer;
+            boost::asio::read_until(socket, buffer, "\r\n\r\n", ignored);
+            boost::asio::write(socket, boost::asio::buffer(answer_), ignored);
+        }
+    }
+
+    boost::asio::io_context context_;
+    Tcp::acceptor acceptor_;
+    const std::size_t silentConnections_;
+    const std::string answer_;
+    std::atomic<bool> stopping_ {false};
+    std::vector<Tcp::socket> silent_;
+    std::thread thread_;
+};
+
 std::string httpAnswer(const std::string &status, const std::string &body)
 {
     return "HTTP/1.1 " + status
@@ -339,3 +388,26 @@
     std::this_thread::sleep_for(1100ms);
     CHECK(fixture.write({{"t", "k", "v", {}}}).ok());
 }
+
+// Trial calls to a silent service are given up after 250 ms, but kept their connections for the
+// client's whole timeout. Once all were taken, a trial after the recovery was not even sent.
+TEST_CASE("A read is sent although earlier ones hold all connections without an answer")
+{
+    constexpr std::size_t silentCalls = 4;
+    constexpr Duration timeout = 4s;
+    constexpr Duration bound = 1s;
+    RecoveringServer server(silentCalls, httpAnswer("404 Not Found", "{}"));
+    PlatformFixture fixture;
+    redirect(fixture, server.address(), timeout);
+    std::atomic<std::size_t> ended {0};
+    fixture.wait<bool>([&](const std::function<void(bool)> &done) {
+        for (std::size_t i = 0; i < silentCalls; ++i)
+            fixture.tables->read("t", "k", [&ended](const auto &) { ++ended; });
+        done(true);
+    });
+    const Instant sent = BootClock::now();
+    CHECK(fixture.read("t", "k").ok());
+    CHECK(BootClock::now() - sent < bound);
+    CHECK(ended == 0);
+    fixture.thread.stop();
+}
