Ownership: a group whose owner was restarted is claimed by any host that sees the new process

Callers saw statements refused as no_owner although the store answered again. An owner that was stopped while the store was silent can't hand its group over. In the model a restarted owner that doesn't reach the store left its group unowned for good.

A link to a later process at the address of the row's owner proves that the owner has ended. Such a group counts as unowned, and its claim, postponed during an outage, is made at the store's return.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -142,6 +142,8 @@
 {
     if (entry.known)
         updateOwnerCount(entry.record, -1);
+    if (record.epoch != entry.record.epoch || record.owner != entry.record.owner)
+        entry.ownerEnded = false;
     entry.known = true;
     entry.record = record;
     updateOwnerCount(record, 1);
@@ -220,6 +222,8 @@
     // An earlier incarnation of this process has ended.
     if (record.owner.address == parts_.self.address && record.owner != parts_.self)
         return std::nullopt;
+    if (found->second.ownerEnded)
+        return std::nullopt;
     return session::OwnerRef {record.epoch, record.owner};
 }
 
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -136,7 +136,9 @@
     static constexpr const char *reasonRequested = "asked";
     static constexpr const char *reasonUnowned = "unowned";
     static constexpr const char *reasonProactive = "ahead";
+    // The row names an earlier process of this host, or of another one.
     static constexpr const char *reasonRestarted = "restarted";
+    static constexpr const char *reasonOwnerRestarted = "owner_restarted";
     static constexpr const char *reasonNothingListens = "nothing_listens";
     static constexpr const char *reasonLinkDown = "link_down";
     static constexpr const char *reasonReported = "reported";
@@ -158,6 +160,8 @@
         bool writing = false;
         // The write in flight transfers ownership, so the lease must not be extended.
         bool handingOver = false;
+        // A later process was seen at the address of the owner that the row names.
+        bool ownerEnded = false;
         bool claimPlanned = false;
         Instant claimAfter {};
         // Earliest time of the next query to the store or to peers.
@@ -190,6 +194,8 @@
     void scheduleClaim(const GroupName &group, const std::string &reason, Duration delay);
     void claimSuspected(const GroupName &group, const session::OwnerRef &suspect,
                         const std::string &reason);
+    // Claims the groups whose owner was an earlier process at the address.
+    void claimFromRestarted(const ProcessId &process);
     decision::Claimant claimant(const GroupName &group) const;
     Duration claimDelay(const GroupName &group) const;
     void claim(const GroupName &group, OwnerEpoch seen, const std::string &reason);
--- a/src/group/ownershipclaims.cpp
+++ b/src/group/ownershipclaims.cpp
@@ -1,5 +1,7 @@
 #include "group/ownership.h"
 
+#include <prometheus/counter.h>
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -34,8 +36,11 @@
         pendingOwnerRequests_.insert(group);
         return;
     }
-    if (!owner(group))
-        scheduleClaim(group, reasonUnowned, coldStartDelay + 2 * claimDelay(group));
+    if (owner(group))
+        return;
+    if (entries_[group].ownerEnded)
+        return scheduleClaim(group, reasonOwnerRestarted, claimDelay(group));
+    scheduleClaim(group, reasonUnowned, coldStartDelay + 2 * claimDelay(group));
 }
 
 void OwnershipTable::claimProactively(const GroupName &group, std::size_t groups)
@@ -99,6 +104,32 @@
     scheduleClaim(group, reason, delay);
 }
 
+// The row was written before the new process began, so its owner has ended. The new process may not
+// reach the table service yet.
+void OwnershipTable::claimFromRestarted(const ProcessId &process)
+{
+    if (ownedBy_.count(process.address) == 0)
+        return;
+    scannedEntries_.Increment(double(entries_.size()));
+    std::vector<GroupName> groups;
+    for (auto &[group, entry] : entries_) {
+        const ProcessId &owner = entry.record.owner;
+        // The incarnation is unknown if another process has reported the owner.
+        const bool hasEnded = entry.known && owner.address == process.address
+            && owner.incarnation != 0 && owner.incarnation != process.incarnation;
+        if (hasEnded && !std::exchange(entry.ownerEnded, true))
+            groups.push_back(group);
+    }
+    for (const GroupName &group : groups) {
+        parts_.log.info("owner_ended", reasonOwnerRestarted)
+            .with("group", group)
+            .with("epoch", entries_[group].record.epoch)
+            .with("owner", process.address);
+        scheduleClaim(group, reasonOwnerRestarted, claimDelay(group));
+        events_.onOwnerChanged(group);
+    }
+}
+
 void OwnershipTable::onOwnerSuspected(const GroupName &group, OwnerEpoch epoch)
 {
     const auto current = owner(group);
@@ -145,7 +176,8 @@
         return;
     // Ignore suspicions from a store outage, in which owners may have been unreachable, too.
     const bool isProven = reason == reasonRequested || reason == reasonRestarted
-        || reason == reasonUnowned || reason == reasonProactive || reason == reasonNothingListens;
+        || reason == reasonOwnerRestarted || reason == reasonUnowned || reason == reasonProactive
+        || reason == reasonNothingListens;
     // Hosts without capacity wait longer, as the first of many claims wins when the store is back.
     const Duration preference =
         entry.isReported ? decision::capacityPreferenceDelay(parts_.processors) : Duration(0);
@@ -164,7 +196,7 @@
     entry.writing = true;
     // These reasons arise for many groups at once: at a start, or when the store rejects an owner.
     const bool mayBatch = reason == reasonUnowned || reason == reasonProactive
-        || reason == reasonRestarted || reason == reasonRequested;
+        || reason == reasonRestarted || reason == reasonOwnerRestarted || reason == reasonRequested;
     if (mayBatch && knownVersion_ && (!entry.known || !entry.etag.empty()))
         return addToClaimBatch({group, seen, reason});
     claimSingle(group, seen, reason);
@@ -263,7 +295,9 @@
 // Retries claims that nothing else triggers again.
 void OwnershipTable::retryClaim(const GroupName &group, const std::string &reason)
 {
-    if (reason == reasonUnowned || reason == reasonProactive || reason == reasonRestarted)
+    const bool isUnowned = reason == reasonUnowned || reason == reasonProactive
+        || reason == reasonRestarted || reason == reasonOwnerRestarted;
+    if (isUnowned)
         parts_.timers.subscribeAfter(claimRetryDelay, [this, group] { requestOwner(group); });
 }
 
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -95,6 +95,13 @@
     storeRecoveredAt_ = parts_.timers.now();
     if (outage >= longStoreOutage)
         suspectAfter_ = parts_.timers.now() + linkRecoveryTime;
+    // Claims made during the outage were postponed.
+    for (auto &[group, entry] : entries_) {
+        if (!entry.ownerEnded)
+            continue;
+        entry.claimAfter = Instant();
+        scheduleClaim(group, reasonOwnerRestarted, claimDelay(group));
+    }
     // Don't wait for a query from before the outage; a new one extends the leases further.
     renewing_ = false;
     renewLeases();
@@ -292,6 +299,7 @@
         if (entry.earlier.onRestarted(process))
             onPredecessorEnded(group, process.address, "restarted");
     }
+    claimFromRestarted(process);
 }
 
 void OwnershipTable::onOwnershipEnded(const std::string &address,
--- a/tests/host/ownerproof_test.cpp
+++ b/tests/host/ownerproof_test.cpp
@@ -242,3 +242,61 @@
     owners.write(pastLeaseExpiry);
     owners.check();
 }
+
+namespace {
+
+// Stops the owner while the store is silent, so that it can't hand the group over, and starts it
+// again. Returns the index of the former owner.
+std::size_t restartOwnerBehindSilentStore(ModelCluster &cluster)
+{
+    waitUntilReady(cluster);
+    const auto owner = std::size_t(cluster.owner());
+    cluster.store.silent = true;
+    cluster.run(1s);
+    cluster.drain(owner);
+    cluster.run(5s);
+    cluster.kill(owner);
+    cluster.run(500ms);
+    cluster.restart(owner);
+    cluster.run(1500ms);
+    return owner;
+}
+
+} // namespace
+
+// Each host that has a link to the new process knows that the owner has ended. The group had no
+// owner until the restarted host itself reached the store.
+TEST_CASE("The group of an owner restarted during an outage is claimed by the first host that can")
+{
+    constexpr Duration bound = 1s;
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        CAPTURE(seed);
+        ModelCluster cluster(seed, 4);
+        const std::size_t restarted = restartOwnerBehindSilentStore(cluster);
+        cluster.partitionFromStore(restarted, true);
+        cluster.store.silent = false;
+        const std::size_t other = restarted == 0 ? 1 : 0;
+        CHECK(cluster.timeToWrite(other, bound));
+        CHECK(cluster.owner() != int(restarted));
+        cluster.partitionFromStore(restarted, false);
+        cluster.run(pastLeaseExpiry);
+        cluster.checkStatementResults();
+        CHECK(cluster.violations.all == std::vector<std::string>());
+    }
+}
+
+// The restarted host must not wait for its own turn to reach the store either.
+TEST_CASE("A restarted owner takes its group back once the store answers")
+{
+    constexpr Duration bound = 1s;
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        CAPTURE(seed);
+        ModelCluster cluster(seed, 4);
+        const std::size_t restarted = restartOwnerBehindSilentStore(cluster);
+        cluster.store.silent = false;
+        CHECK(cluster.timeToWrite(restarted, bound));
+        cluster.run(1s);
+        cluster.checkStatementResults();
+        CHECK(cluster.violations.all == std::vector<std::string>());
+    }
+}
