Ownership: groups are indexed by the address of their owner

The claim from a restarted owner scanned all groups at each link, found by fleetwork_test ("A link to another host": 100 and 1,000 entries scanned for 100 and 1,000 groups, 30 allowed). The table keeps the groups of each owner in place of their number, and the groups whose owner has ended as a set of their own. fleetwork_test passes.

--- a/src/group/ownership.cpp
+++ b/src/group/ownership.cpp
@@ -137,38 +137,46 @@
     return true;
 }
 
-// Also updates owned_ and the group counts of the owners, which avoids scans of all entries.
+// Also updates owned_ and the groups of the owners, which avoids scans of all entries.
 void OwnershipTable::setRecord(const GroupName &group, Entry &entry, const OwnershipRecord &record)
 {
     if (entry.known)
-        updateOwnerCount(entry.record, -1);
+        removeOwner(group, entry.record);
     if (record.epoch != entry.record.epoch || record.owner != entry.record.owner)
-        entry.ownerEnded = false;
+        ownerEnded_.erase(group);
     entry.known = true;
     entry.record = record;
-    updateOwnerCount(record, 1);
+    addOwner(group, record);
     if (record.owner == parts_.self)
         owned_.insert(group);
     else
         owned_.erase(group);
 }
 
-void OwnershipTable::updateOwnerCount(const OwnershipRecord &record, int change)
+void OwnershipTable::addOwner(const GroupName &group, const OwnershipRecord &record)
 {
     const std::string &address = record.owner.address;
     if (address.empty())
         return;
-    const int groups = ownedBy_[address] += change;
-    if (groups == 0) {
-        ownedBy_.erase(address);
-        owners_.remove(address);
-        return;
-    }
+    std::set<GroupName> &groups = groupsByOwner_[address];
+    groups.insert(group);
     // An owner learned from a peer comes without its zone.
-    if (change > 0 && (groups == 1 || !record.zone.empty()))
+    if (groups.size() == 1 || !record.zone.empty())
         owners_.add({address, record.zone, record.hasCapacity});
 }
 
+void OwnershipTable::removeOwner(const GroupName &group, const OwnershipRecord &record)
+{
+    const auto found = groupsByOwner_.find(record.owner.address);
+    if (found == groupsByOwner_.end())
+        return;
+    found->second.erase(group);
+    if (!found->second.empty())
+        return;
+    owners_.remove(record.owner.address);
+    groupsByOwner_.erase(found);
+}
+
 // Applies a row unless its epoch is older than the known one.
 void OwnershipTable::applyRecord(const GroupName &group, const OwnershipRecord &record,
                                  const std::string &etag)
@@ -222,7 +230,7 @@
     // An earlier incarnation of this process has ended.
     if (record.owner.address == parts_.self.address && record.owner != parts_.self)
         return std::nullopt;
-    if (found->second.ownerEnded)
+    if (ownerEnded_.count(group) != 0)
         return std::nullopt;
     return session::OwnerRef {record.epoch, record.owner};
 }
--- a/src/group/ownership.h
+++ b/src/group/ownership.h
@@ -160,8 +160,6 @@
         bool writing = false;
         // The write in flight transfers ownership, so the lease must not be extended.
         bool handingOver = false;
-        // A later process was seen at the address of the owner that the row names.
-        bool ownerEnded = false;
         bool claimPlanned = false;
         Instant claimAfter {};
         // Earliest time of the next query to the store or to peers.
@@ -187,7 +185,8 @@
 
     void onTableRead();
     void setRecord(const GroupName &group, Entry &entry, const OwnershipRecord &record);
-    void updateOwnerCount(const OwnershipRecord &record, int change);
+    void addOwner(const GroupName &group, const OwnershipRecord &record);
+    void removeOwner(const GroupName &group, const OwnershipRecord &record);
     bool applyRow(const services::TableRow &row);
     void applyRecord(const GroupName &group, const OwnershipRecord &record,
                      const std::string &etag);
@@ -293,9 +292,11 @@
     std::map<GroupName, Entry> entries_;
     // Groups whose rows name this process.
     std::set<GroupName> owned_;
+    // Groups with a later process at the address of the owner that the row names.
+    std::set<GroupName> ownerEnded_;
     decision::RelayOrder owners_;
-    // Number of owned groups by process address.
-    std::map<std::string, int> ownedBy_;
+    // Groups by the address of their owner.
+    std::map<std::string, std::set<GroupName>> groupsByOwner_;
     // Calls of requestOwner() and claimProactively() that wait for the initial snapshot.
     std::set<GroupName> pendingOwnerRequests_;
     std::map<GroupName, std::size_t> pendingProactiveClaims_;
--- a/src/group/ownershipclaims.cpp
+++ b/src/group/ownershipclaims.cpp
@@ -38,7 +38,7 @@
     }
     if (owner(group))
         return;
-    if (entries_[group].ownerEnded)
+    if (ownerEnded_.count(group) != 0)
         return scheduleClaim(group, reasonOwnerRestarted, claimDelay(group));
     scheduleClaim(group, reasonUnowned, coldStartDelay + 2 * claimDelay(group));
 }
@@ -108,22 +108,21 @@
 // reach the table service yet.
 void OwnershipTable::claimFromRestarted(const ProcessId &process)
 {
-    if (ownedBy_.count(process.address) == 0)
+    const auto found = groupsByOwner_.find(process.address);
+    if (found == groupsByOwner_.end())
         return;
-    scannedEntries_.Increment(double(entries_.size()));
-    std::vector<GroupName> groups;
-    for (auto &[group, entry] : entries_) {
-        const ProcessId &owner = entry.record.owner;
-        // The incarnation is unknown if another process has reported the owner.
-        const bool hasEnded = entry.known && owner.address == process.address
-            && owner.incarnation != 0 && owner.incarnation != process.incarnation;
-        if (hasEnded && !std::exchange(entry.ownerEnded, true))
-            groups.push_back(group);
-    }
+    const std::set<GroupName> groups = found->second;
+    scannedEntries_.Increment(double(groups.size()));
     for (const GroupName &group : groups) {
+        const Entry &entry = entries_[group];
+        const Incarnation known = entry.record.owner.incarnation;
+        // The incarnation is unknown if another process has reported the owner.
+        const bool hasEnded = known != 0 && known != process.incarnation;
+        if (!hasEnded || !ownerEnded_.insert(group).second)
+            continue;
         parts_.log.info("owner_ended", reasonOwnerRestarted)
             .with("group", group)
-            .with("epoch", entries_[group].record.epoch)
+            .with("epoch", entry.record.epoch)
             .with("owner", process.address);
         scheduleClaim(group, reasonOwnerRestarted, claimDelay(group));
         events_.onOwnerChanged(group);
--- a/src/group/ownershipleases.cpp
+++ b/src/group/ownershipleases.cpp
@@ -96,10 +96,8 @@
     if (outage >= longStoreOutage)
         suspectAfter_ = parts_.timers.now() + linkRecoveryTime;
     // Claims made during the outage were postponed.
-    for (auto &[group, entry] : entries_) {
-        if (!entry.ownerEnded)
-            continue;
-        entry.claimAfter = Instant();
+    for (const GroupName &group : ownerEnded_) {
+        entries_[group].claimAfter = Instant();
         scheduleClaim(group, reasonOwnerRestarted, claimDelay(group));
     }
     // Don't wait for a query from before the outage; a new one extends the leases further.
