--- a/src/inner/peerlink.h
+++ b/src/inner/peerlink.h
@@ -41,6 +41,9 @@
     // one dialled while the peer was down opens late. If the second link can't be opened, the
     // current one stays.
     virtual void renew(const std::string &address) = 0;
+    // Closes the second link to the address unless it is up already. Used when the current link has
+    // carried an answer after all, as replacing it would lose what is in transit on it.
+    virtual void cancelRenewal(const std::string &address) = 0;
 
     // Returns the link that sendTo() would use for the address; 0 when there is none.
     virtual LinkId linkTo(const std::string &address) = 0;
--- a/src/inner/websocketlinks.cpp
+++ b/src/inner/websocketlinks.cpp
@@ -40,6 +40,7 @@
     void connect(const std::string &address) override;
     void drop(const std::string &address) override;
     void renew(const std::string &address) override;
+    void cancelRenewal(const std::string &address) override;
     LinkId linkTo(const std::string &address) override;
     absl::Status sendTo(const std::string &address, Message message) override;
     absl::Status sendOn(LinkId link, Message message) override;
@@ -236,6 +237,15 @@
     });
 }
 
+void WebsocketLinks::cancelRenewal(const std::string &address)
+{
+    boost::asio::post(thread_.context(), [this, address] {
+        const auto found = targets_.find(address);
+        if (found != targets_.end() && found->second.renewal)
+            abortLink(found->second.renewal, absl::CancelledError("the current link answers"));
+    });
+}
+
 // Whether the link was dialled recently, so that another attempt would not open sooner.
 bool WebsocketLinks::isConnecting(const LinkPtr &link) const
 {
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -3,8 +3,11 @@
 #include "decision/ownersuspicion.h"
 #include "session/statementrules.h"
 
+#include <prometheus/counter.h>
+
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace kelptally::session {
 
@@ -40,7 +43,14 @@
 
 } // namespace
 
-Router::Router(const Parts &parts) : parts_(parts) { }
+Router::Router(const Parts &parts)
+    : parts_(parts),
+      renewals_(parts.metrics.counter("kelptally_link_renewals_total",
+                                      "Second links dialled because the first one was silent")),
+      cancelledRenewals_(
+          parts.metrics.counter("kelptally_link_renewals_cancelled_total",
+                                "Second links given up because the first one answered"))
+{ }
 
 inner::RequestId Router::run(inner::RunStatement statement, DoneCallback callback)
 {
@@ -313,6 +323,13 @@
 void Router::onPeerResponse(const std::string &address)
 {
     Peer &peer = peers_[address];
+    if (std::exchange(peer.renewing, false)) {
+        parts_.log.info("link_responsive")
+            .with("peer", address)
+            .with("silent_ms", parts_.timers.now() - peer.lastResponseAt);
+        cancelledRenewals_.Increment();
+        parts_.links.cancelRenewal(address);
+    }
     peer.lastResponseAt = parts_.timers.now();
     if (!peer.silent)
         return;
@@ -528,6 +545,14 @@
         static_cast<void>(parts_.links.sendTo(address, inner::AliveRequest {++probeSequence_}));
     }
     if (silence >= redialAfter) {
+        if (!std::exchange(peer.renewing, true)) {
+            renewals_.Increment();
+            parts_.log.info("link_renewal")
+                .with("peer", address)
+                .with("silent_ms", silence)
+                .with("probed_ms", now - peer.lastProbedAt)
+                .with("in_flight", peer.inFlight);
+        }
         peer.resend = peer.resend || peer.downSince == Instant();
         parts_.links.renew(address);
     }
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -125,6 +125,8 @@
         Instant lastProbedAt;
         bool silent = false;
         bool dialled = false;
+        // Whether a second link is being opened since the last response.
+        bool renewing = false;
         // Whether statements wait for the peer, so that it is monitored.
         bool monitored = false;
         // Number of statements sent to the peer and not yet answered.
@@ -168,6 +170,8 @@
     void startMonitoring(Peer &peer, Instant now);
 
     const Parts parts_;
+    prometheus::Counter &renewals_;
+    prometheus::Counter &cancelledRenewals_;
     std::unordered_map<inner::RequestId, Pending> pending_;
     std::vector<inner::RequestId> waiting_;
     std::unordered_map<GroupName, decision::OwnerSearch> searches_;
--- a/tests/admin/framefixture.h
+++ b/tests/admin/framefixture.h
@@ -167,6 +167,7 @@
     void connect(const std::string &) override { }
     void drop(const std::string &) override { }
     void renew(const std::string &) override { }
+    void cancelRenewal(const std::string &) override { }
     inner::LinkId linkTo(const std::string &address) override { return address == peer ? link : 0; }
 
     absl::Status sendTo(const std::string &address, inner::Message message) override
--- a/tests/entry/entryfixtures.h
+++ b/tests/entry/entryfixtures.h
@@ -29,6 +29,7 @@
     void connect(const std::string &address) override { connected.push_back(address); }
     void drop(const std::string &address) override { dropped.push_back(address); }
     void renew(const std::string &) override { }
+    void cancelRenewal(const std::string &) override { }
     inner::LinkId linkTo(const std::string &) override { return 0; }
     absl::Status sendTo(const std::string &, inner::Message) override
     {
--- a/tests/host/fleetwork_test.cpp
+++ b/tests/host/fleetwork_test.cpp
@@ -157,6 +157,7 @@
         void connect(const std::string &) override { }
         void drop(const std::string &) override { }
         void renew(const std::string &) override { }
+        void cancelRenewal(const std::string &) override { }
         inner::LinkId linkTo(const std::string &) override { return 0; }
         absl::Status sendTo(const std::string &, inner::Message) override
         {
--- a/tests/host/linkrepeat_test.cpp
+++ b/tests/host/linkrepeat_test.cpp
@@ -138,3 +138,35 @@
         checkNoViolations(cluster);
     }
 }
+
+namespace {
+
+// Returns how often the last read of the cluster has run.
+int runsOfLastRead(const ModelCluster &cluster)
+{
+    return cluster.group.readRuns.empty() ? 0 : cluster.group.readRuns.rbegin()->second;
+}
+
+} // namespace
+
+// Its links were replaced, and what was in transit on them was lost.
+TEST_CASE("An owner that answers late keeps its links")
+{
+    for (const auto pause : {200ms, 220ms, 240ms, 260ms, 280ms}) {
+        CAPTURE(pause.count());
+        ModelCluster cluster(46);
+        waitUntilReady(cluster);
+        const auto owner = std::size_t(cluster.owner());
+        const std::size_t entry = hostOtherThan(cluster.owner());
+        const inner::LinkId link = cluster.linkBetween(entry, owner);
+        REQUIRE(link != 0);
+        cluster.group.readRuns.clear();
+        cluster.freeze(owner, pause);
+        const auto read = cluster.read(entry, inner::ReadRule::Newest);
+        CHECK(isServed(cluster, read));
+        cluster.run(1s);
+        CHECK(cluster.linkBetween(entry, owner) == link);
+        CHECK(runsOfLastRead(cluster) == 1);
+        checkNoViolations(cluster);
+    }
+}
--- a/tests/host/modelcluster.cpp
+++ b/tests/host/modelcluster.cpp
@@ -143,15 +143,26 @@
             && !target->isIsolated();
         if (!reachable)
             return;
-        renewing.insert(to);
         // The new link is up at both ends before the old one is closed.
-        open(to, *target, [this, to, silent = old->second](inner::LinkId link) {
+        renewing[to] = open(to, *target, [this, to, silent = old->second](inner::LinkId link) {
             renewing.erase(to);
             linkByAddress[to] = link;
             closeLink(silent, to);
         });
     }
 
+    void cancelRenewal(const std::string &to) override
+    {
+        const auto renewal = renewing.find(to);
+        if (renewal == renewing.end())
+            return;
+        const inner::LinkId link = renewal->second;
+        renewing.erase(renewal);
+        openLinks.erase(link);
+        if (ModelHost *target = hostAt(to))
+            target->links->closeLink(link, host.address);
+    }
+
     inner::LinkId linkTo(const std::string &to) override
     {
         const auto link = linkByAddress.find(to);
@@ -199,7 +210,8 @@
     }
 
     // The link is up at this end once the other end has sent its hello.
-    void open(const std::string &to, ModelHost &targetHost, std::function<void(inner::LinkId)> onUp)
+    inner::LinkId open(const std::string &to, ModelHost &targetHost,
+                       std::function<void(inner::LinkId)> onUp)
     {
         ModelHost *target = &targetHost;
         const inner::LinkId link = ++lastLink;
@@ -221,6 +233,7 @@
                                                   events.onPeerUp(link, helloOf(process));
                                               });
                                       });
+        return link;
     }
 
     static inner::Hello helloOf(const ProcessId &process)
@@ -284,7 +297,7 @@
     inner::PeerEvents &events;
     // Contains an address once for each connect() without a drop().
     std::multiset<std::string> targets;
-    std::set<std::string> renewing;
+    std::map<std::string, inner::LinkId> renewing;
     std::map<inner::LinkId, std::string> openLinks;
     std::map<std::string, inner::LinkId> linkByAddress;
 };
@@ -552,6 +565,11 @@
     return true;
 }
 
+inner::LinkId ModelCluster::linkBetween(std::size_t host, std::size_t other) const
+{
+    return hosts[host]->links->linkTo(address(other));
+}
+
 bool ModelCluster::isUp(std::size_t host) const
 {
     return hosts[host] && hosts[host]->up;
--- a/tests/host/modelcluster.h
+++ b/tests/host/modelcluster.h
@@ -90,6 +90,8 @@
     void partitionFromStore(std::size_t host, bool partitioned);
     std::string address(std::size_t host) const;
     bool isUp(std::size_t host) const;
+    // Returns the link on which the host sends to the other one; 0 if there is none.
+    inner::LinkId linkBetween(std::size_t host, std::size_t other) const;
     // Returns the index of the group's owner according to the ownership row, or -1 if there is
     // none.
     int owner() const;
--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -194,6 +194,8 @@
             result.signature = "s" + command.id;
             if (inTransaction_)
                 statements_.push_back(result.signature);
+            else
+                ++group_.readRuns[command.id];
             return;
         case CommandKind::StopReceiving:
             if (!s.primary && command.term > std::max(s.term, s.stoppedTerm))
--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -159,6 +159,8 @@
     // For each committed transaction: the signature of its commit, and the signatures of the
     // statements before it.
     std::map<std::string, std::vector<std::string>> statementsByCommit;
+    // How often each read outside a transaction has run.
+    std::map<std::string, int> readRuns;
     // Returns the number of connections that are in a transaction.
     int openTransactionCount() const;
     // Acknowledged commits that were lost because every server that held them is gone for good.
--- a/tests/inner/peerlinks_test.cpp
+++ b/tests/inner/peerlinks_test.cpp
@@ -351,6 +351,34 @@
     CHECK(2 * withRenewal < withoutRenewal);
 }
 
+// The link may only have been slow, and carries answers that a replacement would lose.
+TEST_CASE("A cancelled renewal leaves the link as it is")
+{
+    Process a(linkOptions(takeFreeAddress()));
+    const std::string relayed = takeFreeAddress();
+    PeerLinkOptions options = linkOptions(takeFreeAddress());
+    options.self.address = relayed;
+    Process b(options);
+    Relay relay(relayed, options.listenAddress);
+    a.links->connect(relayed);
+    REQUIRE(a.events.waitForUps(1));
+    REQUIRE(b.events.waitForUps(1));
+    // The renewal can't open before it is cancelled.
+    relay.setDropping(true);
+    a.links->renew(relayed);
+    a.links->cancelRenewal(relayed);
+    relay.setDropping(false);
+    REQUIRE(a.links->sendTo(relayed, ConfigNotice {1}).ok());
+    REQUIRE(b.events.waitForMessages(1));
+    CHECK(b.events.messages[0].link == b.events.ups[0].link);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(a.events.ups.size() == 1);
+    CHECK(a.events.downs.empty());
+    // A later renewal works.
+    a.links->renew(relayed);
+    CHECK(a.events.waitForUps(2));
+}
+
 TEST_CASE("A renewal without an answer has no effect")
 {
     Process a(linkOptions(takeFreeAddress()));
--- a/tests/session/router_test.cpp
+++ b/tests/session/router_test.cpp
@@ -27,6 +27,7 @@
     void connect(const std::string &) override { ++dials; }
     void drop(const std::string &) override { }
     void renew(const std::string &) override { ++renewals; }
+    void cancelRenewal(const std::string &) override { ++cancelledRenewals; }
     inner::LinkId linkTo(const std::string &) override { return isUp ? 1 : 0; }
     absl::Status sendTo(const std::string &, inner::Message message) override
     {
@@ -44,6 +45,7 @@
     bool isUp = true;
     int dials = 0;
     int renewals = 0;
+    int cancelledRenewals = 0;
     std::vector<inner::RunStatement> statements;
 };
 
@@ -88,6 +90,17 @@
                           [this](const inner::StatementDone &done) { results.push_back(done); });
     }
 
+    inner::RequestId read(Duration timeLeft)
+    {
+        inner::RunStatement statement;
+        statement.group = "cases";
+        statement.verb = inner::SessionVerb::Read;
+        statement.timeLeft = timeLeft;
+        statement.objective = 200ms;
+        return router.run(statement,
+                          [this](const inner::StatementDone &done) { results.push_back(done); });
+    }
+
     // Answers the statement sent last.
     void answerLast()
     {
@@ -161,3 +174,18 @@
     }
     CHECK(fixture.owners.reports == std::vector<std::string> {"late"});
 }
+
+// An owner that is merely slow had its links replaced several times a second.
+TEST_CASE("An answer on the current link cancels its renewal")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    fixture.write(800ms);
+    fixture.timers.advance(260ms);
+    REQUIRE(fixture.links.renewals > 0);
+    CHECK(fixture.links.cancelledRenewals == 0);
+    fixture.answerLast();
+    CHECK(fixture.links.cancelledRenewals == 1);
+    fixture.router.onPeerResponse(ownerProcess.address);
+    CHECK(fixture.links.cancelledRenewals == 1);
+}
