Reads: a single read that is sent again to the same owner runs once

Each link that was renewed or reset sent unanswered single reads again, and the owner ran them again, under load above all.

The owner joins a further copy to the running read and keeps answers for 0.6 s. A read waits for its lost link like other statements and keeps its number when it is sent to the same process again, so that the owner recognises it.

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -2,6 +2,8 @@
 
 #include "session/statementrules.h"
 
+#include <prometheus/counter.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -25,11 +27,21 @@
 constexpr Duration entryExpiry = std::chrono::milliseconds(600);
 // Exceeds the time in which an entry detects a silent link.
 constexpr Duration answerRetention = std::chrono::seconds(3);
+// The same for single reads, which may run again: a link is replaced within this time.
+constexpr Duration readRetention = std::chrono::milliseconds(600);
+constexpr std::size_t maxKeptReads = 64;
+constexpr std::size_t maxKeptReadBytes = 16u << 10;
 
 } // namespace
 
 GroupHost::GroupHost(const Parts &parts)
     : parts_(parts),
+      repeatsOfRunning_(parts.metrics.counter(
+          "kelptally_statements_repeated_total",
+          "Further copies of statements that entries sent again", {{"first", "running"}})),
+      repeatsOfAnswered_(parts.metrics.counter(
+          "kelptally_statements_repeated_total",
+          "Further copies of statements that entries sent again", {{"first", "answered"}})),
       ownership_({parts.timers, parts.table, parts.feed, parts.directFeed, parts.links, parts.log,
                   parts.metrics, parts.self, parts.zone, parts.processors,
                   [this](const std::string &address, std::function<void(bool)> callback) {
@@ -175,12 +187,16 @@
     const auto grantConnections = [this, link, group](inner::StatementDone &done) {
         done.grantedConnections = connectionsGrantedTo(link, group);
     };
-    // 1. Single reads may run twice.
+    // 1. A single read that is sent again would load the servers twice.
     if (session::isSingleRead(statement)) {
-        return run(entry->origin, std::move(statement), [this, link, grantConnections](auto done) {
-            grantConnections(done);
-            static_cast<void>(parts_.links.sendOn(link, std::move(done)));
-        });
+        if (isFurtherCopy(entry->reads, link, statement))
+            return;
+        return run(entry->origin, std::move(statement),
+                   [this, grantConnections, address = entry->process.address,
+                    origin = entry->origin](auto done) {
+                       grantConnections(done);
+                       onReadAnswered(address, origin, std::move(done));
+                   });
     }
     // 2. Any other statement runs once: a duplicate gets the answer to the first copy. A statement
     // that may be a duplicate of a forgotten one is refused.
@@ -201,18 +217,8 @@
     if (statement.inTransaction)
         recordSession(*entry, statement.session, statement.requestId);
     entry->newestRequest = std::max(entry->newestRequest, statement.requestId);
-    const auto [answer, isNew] = entry->answers.try_emplace(statement.requestId);
-    // The first copy may arrive after the one that was sent again on a newer link, and its own link
-    // is about to be closed. Ids of links increase.
-    answer->second.link = std::max(answer->second.link, link);
-    if (!isNew) {
-        parts_.log.info("statement_repeated")
-            .with("id", statement.statementId)
-            .with("answered", answer->second.done.has_value());
-        if (answer->second.done)
-            static_cast<void>(parts_.links.sendOn(answer->second.link, *answer->second.done));
+    if (isFurtherCopy(entry->answers, link, statement))
         return;
-    }
     run(entry->origin, std::move(statement),
         [this, grantConnections, address = entry->process.address,
          origin = entry->origin](auto done) {
@@ -221,13 +227,68 @@
         });
 }
 
+bool GroupHost::isFurtherCopy(std::unordered_map<inner::RequestId, Answer> &answers,
+                              inner::LinkId link, const inner::RunStatement &statement)
+{
+    const auto [answer, isNew] = answers.try_emplace(statement.requestId);
+    // The first copy may arrive after the one that was sent again on a newer link, and its own link
+    // is about to be closed. Ids of links increase.
+    answer->second.link = std::max(answer->second.link, link);
+    if (isNew)
+        return false;
+    const std::optional<inner::StatementDone> &done = answer->second.done;
+    (done ? repeatsOfAnswered_ : repeatsOfRunning_).Increment();
+    parts_.log.info("statement_repeated")
+        .with("id", statement.statementId)
+        .with("answered", done.has_value());
+    if (done)
+        static_cast<void>(parts_.links.sendOn(answer->second.link, *done));
+    return true;
+}
+
+GroupHost::Entry *GroupHost::entryAt(const std::string &address, inner::LinkId origin)
+{
+    const auto found = entries_.find(address);
+    const bool isSameRun = found != entries_.end() && found->second.origin == origin;
+    return isSameRun ? &found->second : nullptr;
+}
+
+// Refusals are not kept: the read may be served when it is sent again.
+void GroupHost::onReadAnswered(const std::string &address, inner::LinkId origin,
+                               inner::StatementDone done)
+{
+    Entry *entry = entryAt(address, origin);
+    if (entry == nullptr)
+        return;
+    const auto answer = entry->reads.find(done.requestId);
+    if (answer == entry->reads.end())
+        return;
+    static_cast<void>(parts_.links.sendOn(answer->second.link, done));
+    const Instant now = parts_.timers.now();
+    std::size_t bytes = 0;
+    for (const std::string &row : done.rows)
+        bytes += row.size();
+    if (done.reason == Reason::None && bytes <= maxKeptReadBytes) {
+        entry->readTimes.emplace_back(now, done.requestId);
+        answer->second.done = std::move(done);
+    } else {
+        entry->reads.erase(answer);
+    }
+    while (!entry->readTimes.empty()
+           && (now - entry->readTimes.front().first > readRetention
+               || entry->readTimes.size() > maxKeptReads)) {
+        entry->reads.erase(entry->readTimes.front().second);
+        entry->readTimes.pop_front();
+    }
+}
+
 void GroupHost::onAnswered(const std::string &address, inner::LinkId origin,
                            inner::StatementDone done)
 {
-    const auto found = entries_.find(address);
-    if (found == entries_.end() || found->second.origin != origin)
+    Entry *found = entryAt(address, origin);
+    if (found == nullptr)
         return;
-    Entry &entry = found->second;
+    Entry &entry = *found;
     const auto answer = entry.answers.find(done.requestId);
     if (answer == entry.answers.end())
         return;
@@ -369,6 +430,8 @@
     entry.forgottenUpTo = entry.newestRequest;
     entry.answers.clear();
     entry.answerTimes.clear();
+    entry.reads.clear();
+    entry.readTimes.clear();
     expireSessions(entry);
     for (const auto &[group, hosted] : groups_)
         hosted.runner->onEntryDisconnected(entry.origin);
--- a/src/group/grouphost.h
+++ b/src/group/grouphost.h
@@ -12,7 +12,8 @@
 namespace kelptally::group {
 
 // Manages the groups of this process, with one GroupRunner for each group that it owns or has
-// owned. Executes each statement from a peer at most once, except single reads.
+// owned. Executes each statement from a peer at most once. Single reads may run twice, if a copy
+// arrives long after the answer.
 class GroupHost : public session::StatementExecutor, public OwnershipEvents
 {
 public:
@@ -115,6 +116,9 @@
         TimerId expiryTimer = 0;
         std::unordered_map<inner::RequestId, Answer> answers;
         std::deque<std::pair<Instant, inner::RequestId>> answerTimes;
+        // The same for single reads, whose answers are kept for a shorter time.
+        std::unordered_map<inner::RequestId, Answer> reads;
+        std::deque<std::pair<Instant, inner::RequestId>> readTimes;
         // Request numbers increase. A request up to this number without a kept answer may have run.
         inner::RequestId forgottenUpTo = 0;
         inner::RequestId newestRequest = 0;
@@ -132,7 +136,15 @@
     static bool isSuperseded(const Entry &entry, const inner::RunStatement &statement);
     void refuse(inner::LinkId link, inner::RequestId id, Reason reason, Executed executed,
                 const std::string &detail);
+    // Registers the link on which a copy of the statement arrived. Returns whether it is a further
+    // copy, which gets the answer to the first one.
+    bool isFurtherCopy(std::unordered_map<inner::RequestId, Answer> &answers, inner::LinkId link,
+                       const inner::RunStatement &statement);
+    void onReadAnswered(const std::string &address, inner::LinkId origin,
+                        inner::StatementDone done);
     void onAnswered(const std::string &address, inner::LinkId origin, inner::StatementDone done);
+    // Returns null if the entry has been replaced by a later run of its process.
+    Entry *entryAt(const std::string &address, inner::LinkId origin);
     // Drops the entry's answers and rolls back the open transactions of its sessions.
     void endEntry(Entry &entry);
     HostedGroup &hostedGroup(const GroupName &group);
@@ -142,6 +154,8 @@
     int connectionsGrantedTo(inner::LinkId link, const GroupName &group) const;
 
     const Parts parts_;
+    prometheus::Counter &repeatsOfRunning_;
+    prometheus::Counter &repeatsOfAnswered_;
     OwnershipTable ownership_;
     QuotaManager quotas_;
     std::map<GroupName, std::vector<ListedServer>> servers_;
--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -175,7 +175,11 @@
     Peer &peer = peers_[address];
     startMonitoring(peer, now);
     pending.statement.timeLeft = std::max(Duration(0), pending.deadline - now);
-    pending.statement.requestId = ++lastSent_;
+    // The answer to the first copy of a read is only as recent as that copy.
+    if (!isSentAgain(pending, address, peer)) {
+        pending.statement.requestId = ++lastSent_;
+        pending.sentAt = now;
+    }
     const absl::Status sent = parts_.links.sendTo(address, pending.statement);
     if (absl::IsUnavailable(sent) && !peer.dialled) {
         peer.dialled = true;
@@ -188,13 +192,20 @@
     ++peer.inFlight;
     sent_[pending.statement.requestId] = id;
     pending.address = address;
-    pending.sentAt = now;
+    pending.sentTo = peer.incarnation;
+    pending.unansweredBy.clear();
     ++pending.attempts;
     if (pending.statement.begins != inner::TransactionMode::None)
         transactions_[pending.statement.session] = {address, pending.statement.group};
     return true;
 }
 
+bool Router::isSentAgain(const Pending &pending, const std::string &address, const Peer &peer)
+{
+    return isSingleRead(pending.statement) && pending.unansweredBy == address && pending.sentTo != 0
+        && pending.sentTo == peer.incarnation;
+}
+
 void Router::runLocally(inner::RequestId id, Pending &pending)
 {
     const Instant now = parts_.timers.now();
@@ -383,23 +394,15 @@
     // The lost link may have been an incoming one, or one that has already been replaced.
     if (parts_.links.linkTo(address) != 0)
         return;
-    // Single reads are sent again at once; other statements wait for the link to come back.
+    // Statements wait for the link to come back, as the process may still run them.
     Peer &peer = peers_[address];
     peer.resend = true;
     if (peer.downSince == Instant())
         peer.downSince = parts_.timers.now();
-    std::vector<inner::RequestId> reads;
     std::map<GroupName, OwnerRef> suspects;
-    for (const auto &[id, pending] : pending_) {
-        if (pending.address != address)
-            continue;
-        if (isSingleRead(pending.statement))
-            reads.push_back(id);
-        else if (pending.epoch != 0)
+    for (const auto &[id, pending] : pending_)
+        if (pending.address == address && pending.epoch != 0)
             suspects[pending.statement.group] = {pending.epoch, {address, 0}};
-    }
-    for (const inner::RequestId id : reads)
-        onAnswerLost(id, linkDown);
     for (const auto &[group, owner] : suspects)
         parts_.owners.reportOwnerUnreachable(group, owner, linkDown);
 }
@@ -467,6 +470,7 @@
     const OwnerRef owner {pending.epoch, {pending.address, 0}};
     if (pending.statement.inTransaction && transactions_.erase(pending.statement.session) != 0)
         recordEnd(peers_[pending.address], makeEndTransaction(group, pending.statement.session));
+    pending.unansweredBy = pending.address;
     detachFromPeer(pending);
     parts_.log.info("owner_answer_lost", cause)
         .with("id", pending.statement.statementId)
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -116,6 +116,10 @@
         Instant sentAt;
         // The peer that has the statement; empty while it waits or runs in this process.
         std::string address;
+        // Incarnation of the peer that the statement was last sent to.
+        Incarnation sentTo = 0;
+        // The peer that got the last attempt and has not answered it.
+        std::string unansweredBy;
         OwnerEpoch epoch = 0;
         int attempts = 0;
     };
@@ -144,6 +148,8 @@
     void tryLocalRead(inner::RequestId id);
     void dispatch(inner::RequestId id);
     bool sendTo(inner::RequestId id, Pending &pending, const OwnerRef &owner);
+    // Whether the peer may still run or have answered the last attempt of the read.
+    static bool isSentAgain(const Pending &pending, const std::string &address, const Peer &peer);
     void runLocally(inner::RequestId id, Pending &pending);
     void awaitOwner(inner::RequestId id, Pending &pending);
     void dispatchWaiting();
@@ -187,7 +193,8 @@
     std::unordered_map<std::uint64_t, TransactionLocation> transactions_;
     inner::RequestId lastId_ = 0;
     // Requests by the number under which they were sent. Each attempt has its own number, so that
-    // late answers to an earlier attempt are recognised.
+    // late answers to an earlier attempt are recognised. Only a single read that is sent to the
+    // same process again keeps its number, so that it runs once there.
     std::unordered_map<inner::RequestId, inner::RequestId> sent_;
     inner::RequestId lastSent_ = 0;
     std::uint64_t probeSequence_ = 0;
--- a/tests/host/linkrepeat_test.cpp
+++ b/tests/host/linkrepeat_test.cpp
@@ -147,8 +147,58 @@
     return cluster.group.readRuns.empty() ? 0 : cluster.group.readRuns.rbegin()->second;
 }
 
+// Delays the answers of all servers to the owner.
+void delayServerAnswers(ModelCluster &cluster, Duration delay)
+{
+    const std::string owner = cluster.address(std::size_t(cluster.owner()));
+    for (const auto &[id, server] : cluster.group.servers())
+        cluster.group.answerDelays[{owner, id}] = delay;
+}
+
 } // namespace
 
+// Under load, links are renewed while the owner runs what was sent on them; a second run of each
+// read makes the load worse.
+TEST_CASE("A read sent again on a renewed link runs once")
+{
+    constexpr auto silence = 200ms;
+    constexpr auto renewalTime = 80ms;
+    for (auto delay = silence; delay < silence + renewalTime; delay += 2ms) {
+        CAPTURE(delay.count());
+        ModelCluster cluster(44);
+        waitUntilReady(cluster);
+        const std::size_t entry = hostOtherThan(cluster.owner());
+        cluster.group.readRuns.clear();
+        cluster.delayLinks();
+        const auto read = cluster.read(entry, inner::ReadRule::Newest);
+        cluster.run(delay);
+        cluster.deliverDelayed();
+        CHECK(isServed(cluster, read));
+        cluster.run(1s);
+        CHECK(runsOfLastRead(cluster) == 1);
+        checkNoViolations(cluster);
+    }
+}
+
+TEST_CASE("A read whose link is reset while it runs is not run again")
+{
+    for (const auto resetAt : {1ms, 20ms, 100ms, 190ms, 299ms, 301ms, 305ms}) {
+        CAPTURE(resetAt.count());
+        ModelCluster cluster(45);
+        waitUntilReady(cluster);
+        const std::size_t entry = hostOtherThan(cluster.owner());
+        delayServerAnswers(cluster, 300ms);
+        cluster.group.readRuns.clear();
+        const auto read = cluster.read(entry, inner::ReadRule::Newest);
+        cluster.run(resetAt);
+        cluster.resetLinks();
+        CHECK(isServed(cluster, read));
+        cluster.run(1s);
+        CHECK(runsOfLastRead(cluster) == 1);
+        checkNoViolations(cluster);
+    }
+}
+
 // Its links were replaced, and what was in transit on them was lost.
 TEST_CASE("An owner that answers late keeps its links")
 {
--- a/tests/session/router_test.cpp
+++ b/tests/session/router_test.cpp
@@ -189,3 +189,28 @@
     fixture.router.onPeerResponse(ownerProcess.address);
     CHECK(fixture.links.cancelledRenewals == 1);
 }
+
+// The process may still run the first copy, and recognises the second one by its number.
+TEST_CASE("A read that is sent to the same process again keeps its number")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    fixture.read(800ms);
+    REQUIRE(fixture.links.statements.size() == 1);
+    fixture.timers.advance(500ms);
+    fixture.router.onPeerResponse(ownerProcess.address);
+    REQUIRE(fixture.links.statements.size() == 2);
+    CHECK(fixture.links.statements[1].requestId == fixture.links.statements[0].requestId);
+}
+
+TEST_CASE("A read that is sent to a later process gets another number")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    fixture.read(800ms);
+    REQUIRE(fixture.links.statements.size() == 1);
+    fixture.timers.advance(100ms);
+    fixture.router.onLinkUp({ownerProcess.address, ownerProcess.incarnation + 1});
+    REQUIRE(fixture.links.statements.size() == 2);
+    CHECK(fixture.links.statements[1].requestId != fixture.links.statements[0].requestId);
+}
