Quotas: refusals tell the shares and the owners that could not be asked

quota_used_up names the parts of the quota held here and the owners that the last request for tokens went to, with those that have no link; counters of requests by result and of tokens exchanged.

--- a/src/group/quotamanager.cpp
+++ b/src/group/quotamanager.cpp
@@ -18,7 +18,20 @@
 
 } // namespace
 
-QuotaManager::QuotaManager(const Parts &parts) : parts_(parts) { }
+QuotaManager::QuotaManager(const Parts &parts)
+    : parts_(parts), requestsSent_(parts.metrics.counter("kelptally_quota_requests_total",
+                                                         "Requests for tokens to other owners",
+                                                         {{"result", "sent"}})),
+      requestsWithoutLink_(parts.metrics.counter("kelptally_quota_requests_total",
+                                                 "Requests for tokens to other owners",
+                                                 {{"result", "no_link"}})),
+      tokensGranted_(parts.metrics.counter("kelptally_quota_tokens_total",
+                                           "Tokens exchanged with other owners",
+                                           {{"flow", "granted"}})),
+      tokensReceived_(parts.metrics.counter("kelptally_quota_tokens_total",
+                                            "Tokens exchanged with other owners",
+                                            {{"flow", "received"}}))
+{ }
 
 void QuotaManager::setCatalogue(const session::Catalogue &catalogue)
 {
@@ -76,8 +89,9 @@
         account.holders = decision::quotaHolders(organisation, groups_);
     if (now >= account.refreshAt) {
         account.refreshAt = now + refreshPeriod;
-        account.account.set(
-            now, decision::quotaShare(account.quota, parts_.tolerance, holdersOf(account)));
+        account.shares = holdersOf(account);
+        account.account.set(now,
+                            decision::quotaShare(account.quota, parts_.tolerance, account.shares));
     }
     return &account;
 }
@@ -124,12 +138,17 @@
         .with("burst", static_cast<std::uint64_t>(account->quota.burst))
         .with("left_thousandths",
               static_cast<std::uint64_t>(account->account.available(now) * thousandths))
+        .with("holders", account->shares.total)
+        .with("owned", account->shares.owned)
+        .with("overlapping", account->shares.overlapping)
+        .with("requested", std::uint64_t(account->lastRequested))
+        .with("unreachable", std::uint64_t(account->lastUnreachable))
         .with("retry_after_ms", wait);
     return wait;
 }
 
 // Sends the request to some of the other owners that hold the quota, in round-robin order.
-void QuotaManager::requestGrants(const OrganisationName &organisation, const Account &account,
+void QuotaManager::requestGrants(const OrganisationName &organisation, Account &account,
                                  const decision::QuotaAccount::GrantRequest &grantRequest)
 {
     std::set<std::string> others;
@@ -141,8 +160,13 @@
     inner::QuotaRequest request;
     request.organisation = organisation;
     request.thousandths = static_cast<std::uint64_t>(grantRequest.wanted * thousandths);
-    for (std::size_t i = 0; i < std::min(grantRequest.owners, owners.size()); ++i)
-        static_cast<void>(parts_.links.sendTo(owners[nextOwner_++ % owners.size()], request));
+    account.lastRequested = std::min(grantRequest.owners, owners.size());
+    account.lastUnreachable = 0;
+    for (std::size_t i = 0; i < account.lastRequested; ++i) {
+        const bool sent = parts_.links.sendTo(owners[nextOwner_++ % owners.size()], request).ok();
+        (sent ? requestsSent_ : requestsWithoutLink_).Increment();
+        account.lastUnreachable += sent ? 0 : 1;
+    }
 }
 
 void QuotaManager::onRequest(inner::LinkId link, const inner::QuotaRequest &request)
@@ -156,12 +180,15 @@
     message.organisation = request.organisation;
     message.thousandths = static_cast<std::uint64_t>(
         account->account.grant(parts_.timers.now(), wanted) * thousandths);
+    tokensGranted_.Increment(static_cast<double>(message.thousandths) / thousandths);
     if (message.thousandths > 0)
         static_cast<void>(parts_.links.sendOn(link, message));
 }
 
 void QuotaManager::onGrant(const inner::QuotaGrant &message)
 {
+    tokensReceived_.Increment(static_cast<double>(std::min(message.thousandths, maxThousandths))
+                              / thousandths);
     if (Account *account = find(message.organisation))
         account->account.receive(parts_.timers.now(),
                                  static_cast<double>(std::min(message.thousandths, maxThousandths))
--- a/src/group/quotamanager.h
+++ b/src/group/quotamanager.h
@@ -66,15 +66,23 @@
         std::vector<GroupName> holders;
         decision::QuotaAccount account;
         Instant refreshAt {};
+        decision::QuotaHolders shares;
+        // Owners that the last request for tokens was sent to, and those without a link to them.
+        std::size_t lastRequested = 0;
+        std::size_t lastUnreachable = 0;
     };
 
     // Returns the refreshed account, or null for an organisation without a quota.
     Account *find(const OrganisationName &organisation);
     decision::QuotaHolders holdersOf(const Account &account) const;
-    void requestGrants(const OrganisationName &organisation, const Account &account,
+    void requestGrants(const OrganisationName &organisation, Account &account,
                        const decision::QuotaAccount::GrantRequest &grantRequest);
 
     const Parts parts_;
+    prometheus::Counter &requestsSent_;
+    prometheus::Counter &requestsWithoutLink_;
+    prometheus::Counter &tokensGranted_;
+    prometheus::Counter &tokensReceived_;
     ConfigVersion version_ = 0;
     std::vector<GroupName> groups_;
     std::set<OrganisationName> organisations_;
