--- a/src/inner/websocketlinks.cpp
+++ b/src/inner/websocketlinks.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxUnauthenticatedLinks = 1024;
 // Delay after a refusal, whose cause (such as a wrong key) usually takes longer to be fixed.
 constexpr Duration refusedRetryDelay = std::chrono::seconds(5);
+// Pause after a failed accept, mostly for want of descriptors.
+constexpr Duration acceptPause = std::chrono::milliseconds(20);
 // A link that is not open within this time may be redialled. One dialled while its peer was down
 // opens only when TCP retransmits the SYN, a second later. A link opens in some 5 ms within a
 // region, and in 100 ms between distant ones.
@@ -53,6 +55,8 @@
     LinkPtr openLink(const std::string &address);
     void replaceByRenewal(const LinkPtr &renewal);
     void scheduleRedial(const std::string &address, bool refused);
+    websocketpp::lib::error_code acceptNext();
+    void onAccepted(const Connection &connection, const websocketpp::lib::error_code &failed);
     void accept(const Connection &connection);
     bool mayAccept() const;
     void registerLink(const LinkPtr &link, const Connection &connection);
@@ -90,6 +94,7 @@
     std::unordered_map<std::string, Target> targets_;
     bool started_ = false;
     bool stopping_ = false;
+    bool acceptFails_ = false;
 
     // Shared with senders.
     std::mutex mutex_;
@@ -172,7 +177,7 @@
     websocketpp::lib::error_code failed;
     server_.listen(tcp::endpoint(ip, static_cast<std::uint16_t>(port)), failed);
     if (!failed)
-        server_.start_accept(failed);
+        failed = acceptNext();
     if (failed)
         return absl::UnavailableError("can't listen on " + options_.listenAddress + ": "
                                       + failed.message());
@@ -310,6 +315,43 @@
     target.retry = thread_.timers().subscribeAfter(delay, [this, address] { dial(address); });
 }
 
+// websocketpp's own accept loop repeats a failed accept at once, which takes a whole processor
+// while the process has no free descriptors.
+websocketpp::lib::error_code WebsocketLinks::acceptNext()
+{
+    const Connection connection = server_.get_connection();
+    if (!connection)
+        return websocketpp::error::make_error_code(websocketpp::error::con_creation_failed);
+    websocketpp::lib::error_code error;
+    server_.async_accept(
+        connection,
+        [this, connection](const websocketpp::lib::error_code &failed) {
+            onAccepted(connection, failed);
+        },
+        error);
+    if (error)
+        connection->terminate(error);
+    return error;
+}
+
+void WebsocketLinks::onAccepted(const Connection &connection,
+                                const websocketpp::lib::error_code &failed)
+{
+    if (!failed) {
+        acceptFails_ = false;
+        connection->start();
+        static_cast<void>(acceptNext());
+        return;
+    }
+    connection->terminate(failed);
+    if (stopping_ || !server_.is_listening())
+        return;
+    // One line for a series of failures.
+    if (!std::exchange(acceptFails_, true))
+        LOG(WARNING) << "event=peer_accept_failed cause=\"" << failed.message() << '"';
+    thread_.timers().subscribeAfter(acceptPause, [this] { static_cast<void>(acceptNext()); });
+}
+
 void WebsocketLinks::accept(const Connection &connection)
 {
     const auto link =
--- a/tests/inner/peerlinks_test.cpp
+++ b/tests/inner/peerlinks_test.cpp
@@ -7,6 +7,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+
+#include <ctime>
 #include <filesystem>
 
 using namespace kelptally;
@@ -592,3 +595,33 @@
     REQUIRE(first.links);
     CHECK_FALSE(makePeerLinks(first.options, events).ok());
 }
+
+// A failed accept was repeated at once, so that the links' thread took a whole processor.
+TEST_CASE("A process without free descriptors waits before it accepts a link again")
+{
+    Process a(linkOptions(takeFreeAddress()));
+    const std::string &address = a.options.self.address;
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    const auto ip = boost::asio::ip::make_address(address.substr(0, address.find(':')));
+    boost::asio::io_context context;
+    tcp::socket socket(context, tcp::v4());
+    rlimit before {};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const int firstFree = ::dup(socket.native_handle());
+    REQUIRE(::close(firstFree) == 0);
+    rlimit none = before;
+    none.rlim_cur = static_cast<rlim_t>(firstFree);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    boost::system::error_code error;
+    socket.connect({ip, port}, error);
+    const std::clock_t cpuBefore = std::clock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const double cpuSeconds = double(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    REQUIRE(!error);
+    CHECK(cpuSeconds < 0.1);
+    // Links are accepted again.
+    Process b(linkOptions(takeFreeAddress()));
+    b.links->connect(address);
+    CHECK(b.events.waitForUps(1));
+}
