Links: a message that is arriving keeps its link open

The receiver counts bytes and answers an arriving message with pongs; less than 4 KB within the timeout is silence still.

New cases in linkwatch_test.

--- a/src/decision/linkwatch.cpp
+++ b/src/decision/linkwatch.cpp
@@ -13,6 +13,8 @@
 constexpr Duration idlePingInterval = std::chrono::seconds(2);
 // Multiplies the silence timeout of an idle link, so that three pings fit in it.
 constexpr int idleTimeoutFactor = 4;
+// Bytes of a partly received message that count as data. Slower transfers end as silent.
+constexpr std::size_t minPartBytes = 4096;
 
 } // namespace
 
@@ -30,9 +32,15 @@
 
 LinkWatch::Step LinkWatch::check()
 {
+    const bool isArriving = !received_ && partBytes_ >= minPartBytes;
+    if (received_ || isArriving)
+        partBytes_ = 0;
+    received_ = received_ || isArriving;
     silentChecks_ = received_ ? 0 : silentChecks_ + 1;
     received_ = false;
     ++idleChecks_;
+    if (isArriving)
+        return Step::Pong;
     const bool isIdle = idleChecks_ * checkPeriod_ >= idleAfter;
     const Duration timeout = silenceTimeout_ * (isIdle ? idleTimeoutFactor : 1);
     if (silentChecks_ * checkPeriod_ >= timeout)
--- a/src/decision/linkwatch.h
+++ b/src/decision/linkwatch.h
@@ -2,6 +2,8 @@
 
 #include "core/clock.h"
 
+#include <cstddef>
+
 namespace kelptally::decision {
 
 // Keepalive of a link to another process: decides when to ping it and when to close it as silent.
@@ -19,10 +21,14 @@
     void onReceived() { received_ = true; }
     // An application message was sent or received.
     void onMessage();
+    // Bytes of a message that has not arrived completely.
+    void onPartReceived(std::size_t bytes) { partBytes_ += bytes; }
 
     enum class Step {
         Nothing,
         Ping,
+        // Tells the peer that its message is arriving: pings of the peer wait behind the message.
+        Pong,
         Close,
     };
     // Called once per check period; returns what to do with the link.
@@ -32,6 +38,8 @@
     const Duration checkPeriod_;
     const Duration silenceTimeout_;
     bool received_ = false;
+    // Bytes of parts since data last counted as received.
+    std::size_t partBytes_ = 0;
     // Number of checks since data last arrived, and since the last application message.
     int silentChecks_ = 0;
     int idleChecks_ = 0;
--- a/src/inner/linkstate.h
+++ b/src/inner/linkstate.h
@@ -21,6 +21,47 @@
 constexpr std::size_t maxUnauthenticatedBytes = 4096;
 // Interval of the checks for silent links and late handshakes.
 constexpr Duration checkInterval = std::chrono::milliseconds(200);
+
+// Connection that counts the bytes it receives. websocketpp reports whole frames only. Its
+// functions are called by websocketpp, which looks them up by name.
+template <typename Config>
+class CountingConnection : public websocketpp::transport::asio::connection<Config>
+{
+public:
+    using Base = websocketpp::transport::asio::connection<Config>;
+    using Base::Base;
+    using Error = websocketpp::lib::error_code;
+
+    std::size_t receivedBytes() const { return receivedBytes_; }
+
+protected:
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void async_read_at_least(std::size_t minBytes, char *buffer, std::size_t size,
+                             websocketpp::transport::read_handler handler)
+    {
+        Base::async_read_at_least(
+            minBytes, buffer, size,
+            [this, handler = std::move(handler)](const Error &error, std::size_t bytes) {
+                receivedBytes_ += bytes;
+                handler(error, bytes);
+            });
+    }
+
+private:
+    std::size_t receivedBytes_ = 0;
+};
+
+template <typename Config>
+class CountingEndpoint : public websocketpp::transport::asio::endpoint<Config>
+{
+public:
+    // Names required by websocketpp.
+    // NOLINTBEGIN(readability-identifier-naming)
+    using transport_con_type = CountingConnection<Config>;
+    using transport_con_ptr = typename transport_con_type::ptr;
+    // NOLINTEND(readability-identifier-naming)
+};
+
 // websocketpp runs on one thread and needs no locks. Frame masks need not be unpredictable, which
 // only protects HTTP proxies from browsers.
 struct LinkConfig : public websocketpp::config::asio
@@ -44,7 +85,7 @@
         static constexpr long timeout_connect = 1500;
         static constexpr long timeout_dns_resolve = 1500;
     };
-    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+    using transport_type = CountingEndpoint<transport_config>;
 
     static constexpr websocketpp::log::level elog_level = websocketpp::log::elevel::none;
     static constexpr websocketpp::log::level alog_level = websocketpp::log::alevel::none;
@@ -96,6 +137,8 @@
     bool isAuthenticated = false;
     std::string peerAddress;
     decision::LinkWatch watch;
+    // Bytes received by the last check.
+    std::size_t receivedBytes = 0;
     // Why this end closed the link; OK if the other end or the network did.
     absl::Status closeReason;
 };
--- a/src/inner/websocketlinks.cpp
+++ b/src/inner/websocketlinks.cpp
@@ -528,6 +528,9 @@
         refusals_.count(timeoutCause);
         return abortLink(link, absl::DeadlineExceededError("no valid Hello in time"));
     }
+    const std::size_t receivedBytes = link->connection->receivedBytes();
+    link->watch.onPartReceived(receivedBytes - link->receivedBytes);
+    link->receivedBytes = receivedBytes;
     const decision::LinkWatch::Step step = link->watch.check();
     if (step == decision::LinkWatch::Step::Close) {
         refusals_.count(silenceCause);
@@ -536,6 +539,8 @@
     websocketpp::lib::error_code ignored;
     if (step == decision::LinkWatch::Step::Ping)
         link->connection->ping("", ignored);
+    if (step == decision::LinkWatch::Step::Pong)
+        link->connection->pong("", ignored);
 }
 
 LinkId WebsocketLinks::linkTo(const std::string &address)
--- a/tests/decision/linkwatch_test.cpp
+++ b/tests/decision/linkwatch_test.cpp
@@ -103,3 +103,32 @@
         pings += watch.check() == LinkWatch::Step::Ping;
     CHECK(pings == 2);
 }
+
+// Pings of the sender wait behind its large message, so the receiver must show that it arrives.
+TEST_CASE("A message that is arriving keeps its link open and is acknowledged by pongs")
+{
+    LinkWatch watch(period, timeout);
+    watch.onMessage();
+    for (Duration elapsed {0}; elapsed < 20s; elapsed += period) {
+        watch.onPartReceived(100'000);
+        CHECK(watch.check() == LinkWatch::Step::Pong);
+    }
+    // Slower parts count together.
+    for (int i = 0; i < 100; ++i) {
+        watch.onPartReceived(1100);
+        CHECK(watch.check() != LinkWatch::Step::Close);
+    }
+}
+
+TEST_CASE("A message that hardly arrives does not keep its link open")
+{
+    LinkWatch watch(period, timeout);
+    watch.onMessage();
+    int checks = 1;
+    for (; checks < 100; ++checks) {
+        watch.onPartReceived(100);
+        if (watch.check() == LinkWatch::Step::Close)
+            break;
+    }
+    CHECK(checks * period == timeout);
+}
