Tests: the lease checks of a change of primary are each noticed when removed

Two schedules show them: a former owner that can't reach the primary must stop no replica of its successor, and an owner whose lease ends between the stop and the replicas' answers must attempt no write of a candidate, refused ones included.

No functional change

--- a/tests/host/modelcluster.cpp
+++ b/tests/host/modelcluster.cpp
@@ -375,6 +375,7 @@
         [this, alive = timers.alive, work, isWrite, answer, countsAsCall] {
             cluster.store.calls += countsAsCall ? 1 : 0;
             if (cluster.store.down || cluster.store.refusedHosts.count(address) != 0) {
+                cluster.store.refusedWrites[address] += isWrite ? 1 : 0;
                 if (*alive)
                     timers.subscribeAfter(storeDelay / 2,
                                           [answer] { answer(absl::UnavailableError("refused")); });
--- a/tests/host/modelcluster.h
+++ b/tests/host/modelcluster.h
@@ -27,6 +27,8 @@
     bool silent = false;
     // Calls received, including refused ones.
     int calls = 0;
+    // Refused writes by the address of their host.
+    std::map<std::string, int> refusedWrites;
     // Addresses of hosts whose calls are not answered.
     std::set<std::string> partitionedHosts;
     // Addresses of hosts whose calls are refused.
--- a/tests/host/ownerproof_test.cpp
+++ b/tests/host/ownerproof_test.cpp
@@ -300,3 +300,84 @@
         CHECK(cluster.violations.all == std::vector<std::string>());
     }
 }
+
+// A stopped replica confirms no commits. A former owner that can't reach the primary must not stop
+// the replicas of its successor.
+TEST_CASE("An owner whose lease has ended stops no replica")
+{
+    for (const Partition partition : {Partition::Refusing, Partition::Silent}) {
+        CAPTURE(int(partition));
+        ModelCluster cluster(1, 2);
+        waitUntilReady(cluster);
+        TwoOwners owners = ownersOf(cluster);
+        const GroupName group = cluster.group.name();
+        isolate(cluster, owners.earlier(), partition);
+        REQUIRE(cluster.runUntil(
+            pastLeaseExpiry, [&] { return !cluster.ownership(owners.earlier()).hasLease(group); }));
+        REQUIRE(cluster.timeToWrite(owners.next(), 3s));
+        const ServerName primary = cluster.group.primary();
+        cluster.group.refuseConnections(cluster.address(owners.earlier()), primary);
+        bool anyStopped = false;
+        const Instant end = cluster.timers.now() + 4s;
+        while (cluster.timers.now() < end) {
+            cluster.write(owners.earlier());
+            const auto outcome = cluster.write(owners.next());
+            for (int ms = 0; ms < 100; ++ms) {
+                cluster.run(1ms);
+                for (const auto &[id, server] : cluster.group.servers())
+                    anyStopped = anyStopped || server.stoppedTerm != 0;
+            }
+            CHECK(outcome->done);
+            CHECK(outcome->result.reason == Reason::None);
+        }
+        CHECK_FALSE(anyStopped);
+        CHECK(cluster.group.primary() == primary);
+        cluster.checkStatementResults();
+        CHECK(cluster.violations.all == std::vector<std::string>());
+    }
+}
+
+// The servers' answers to the stop of a change of primary may arrive after the lease has ended. The
+// change must not go on then; the conditional write of the row alone would prevent harm.
+TEST_CASE("An owner whose lease ends while its replicas stop records no candidate")
+{
+    constexpr Duration answerDelay = 400ms;
+    bool stopWasSent = false;
+    for (Duration beforeEnd = 100ms; beforeEnd <= 1500ms; beforeEnd += 100ms) {
+        CAPTURE(toMilliseconds(beforeEnd));
+        ModelCluster cluster(1, 2);
+        waitUntilReady(cluster);
+        const auto owner = std::size_t(cluster.owner());
+        const std::string address = cluster.address(owner);
+        const GroupName group = cluster.group.name();
+        const ServerName primary = cluster.group.primary();
+        cluster.store.down = true;
+        // 1. The primary is lost shortly before the end of the lease, and the replicas answer late.
+        while (cluster.ownership(owner).leaseLeft(group) > beforeEnd) {
+            cluster.write(owner);
+            cluster.run(20ms);
+        }
+        for (const auto &[id, server] : cluster.group.servers())
+            cluster.group.answerDelays[{address, id}] = answerDelay;
+        cluster.group.crash(primary);
+        while (cluster.ownership(owner).hasLease(group)) {
+            cluster.write(owner);
+            cluster.run(10ms);
+        }
+        for (const auto &[id, server] : cluster.group.servers())
+            stopWasSent = stopWasSent || (id != primary && server.stoppedTerm != 0);
+        // 2. Without the lease no write is attempted, not even one that the store refuses.
+        cluster.run(20ms);
+        const int refusedBefore = cluster.store.refusedWrites[address];
+        cluster.run(2s);
+        CHECK(!cluster.ownership(owner).hasLease(group));
+        CHECK(cluster.store.refusedWrites[address] == refusedBefore);
+        // 3. The change is completed once the store is back.
+        cluster.store.down = false;
+        cluster.group.answerDelays.clear();
+        CHECK(cluster.timeToWrite(owner, 5s));
+        cluster.checkStatementResults();
+        CHECK(cluster.violations.all == std::vector<std::string>());
+    }
+    CHECK(stopWasSent);
+}
