Tests: the answer to a read that was sent again counts from its first copy

The owner may answer a repeated read with the result of the first copy, whose log position is only as recent as that. No test noticed when the router counted it from the second sending, which could take a replica for fresher than it is.

No functional change

--- a/tests/session/router_test.cpp
+++ b/tests/session/router_test.cpp
@@ -73,8 +73,14 @@
 struct NoLocalReads : public LocalReadExecutor
 {
     bool run(const inner::RunStatement &, DoneCallback) override { return false; }
-    void onOwnerAnswer(const inner::RunStatement &, Instant, const inner::StatementDone &) override
-    { }
+    void onOwnerAnswer(const inner::RunStatement &, Instant sent,
+                       const inner::StatementDone &) override
+    {
+        answeredSince = sent;
+    }
+
+    // When the statement that was answered last counts as sent.
+    Instant answeredSince {};
 };
 
 struct RouterFixture
@@ -203,6 +209,20 @@
     CHECK(fixture.links.statements[1].requestId == fixture.links.statements[0].requestId);
 }
 
+// The owner may answer with the result of the first copy. Its position is only as recent as that.
+TEST_CASE("The answer to a read that was sent again counts from the first copy")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    const Instant firstSent = fixture.timers.now();
+    fixture.read(800ms);
+    fixture.timers.advance(500ms);
+    fixture.router.onPeerResponse(ownerProcess.address);
+    REQUIRE(fixture.links.statements.size() == 2);
+    fixture.answerLast();
+    CHECK(fixture.localReads.answeredSince == firstSent);
+}
+
 TEST_CASE("A read that is sent to a later process gets another number")
 {
     RouterFixture fixture;
