Review case 2: a promotion of a former owner after the new owner's

Cause: an owner confirms the end of its ownership while a promotion that it has sent is still on its way. Nothing is fixed.

No functional change

--- /dev/null
+++ b/review/2/case.cpp
@@ -0,0 +1,98 @@
+// The primary crashes. The owner is cut off from the platform (store and cloud API) while its
+// promotion is on the way, and gets SIGTERM.
+
+#include "../standin/platform.h"
+
+using namespace review;
+
+int main(int, char **argv)
+{
+    const std::string folder = argv[1];
+    const bool trouble = std::string(std::getenv("TROUBLE") ? std::getenv("TROUBLE") : "1") != "0";
+    constexpr double cutMs = 1300;
+    record.open(std::string(argv[2]));
+    record.line(trouble ? "with the disruption" : "without the disruption");
+    Store store("127.0.0.1");
+    Group group(store, "cases", [](const std::string &) { return 10.0; });
+    Cloud cloud("127.0.0.1", group, 300);
+    store.put("op", "config",
+              R"({"version":7,"routes":[{"name":"r-1","database":"decisions","prefix":"/",
+"type":"primary","timeoutMs":800,"targetLatencyMs":150,"priority":1,"service":"cases",
+"maxAttempts":2}],"services":[{"name":"cases","healthCheck":"/health",
+"maxConns":23,"protocol":"h1","tls":false,"syncReplicas":1}],"limits":{"maxHeaderBytes":16384,
+"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}})");
+    group.addServer("i-1", "127.0.0.31", "zone-a", true);
+    group.addServer("i-2", "127.0.0.32", "zone-b", false);
+    group.addServer("i-3", "127.0.0.33", "zone-c", false);
+    Path path("127.0.0.1", "127.0.0.1", cloud.port());
+    Path storePath("127.0.0.1", "127.0.0.1", store.port());
+    Host first("frontend-a-1", "127.0.0.11", "zone-a", {storePath.address(), path.address()},
+               folder);
+    Host second("frontend-b-1", "127.0.0.12", "zone-b", {store.address(), cloud.address()}, folder);
+    // Started first, so that it owns the group.
+    first.start();
+    first.waitUntilReady();
+    for (int i = 0; i < 200; ++i) {
+        const auto row = store.value("kelptally_owners", "cases");
+        if (row && row->find(first.peerAddress()) != std::string::npos)
+            break;
+        sleepMs(50);
+    }
+    second.start();
+    second.waitUntilReady();
+    Client client("c0", first);
+    if (!client.start("decisions"))
+        cannotRun("a session can't be started");
+    for (int i = 0; i < 20; ++i)
+        if (!client.query("w" + std::to_string(i), "WRITE a" + std::to_string(i) + " d").ok())
+            cannotRun("the system does not serve a write before the disruption");
+    sleepMs(2000);
+    const auto row = store.value("kelptally_owners", "cases");
+    if (!row || row->find("\"owner\":\"" + first.peerAddress()) == std::string::npos)
+        cannotRun("another host owns the group");
+
+    std::atomic<bool> sent {false};
+    path.onFirstBytes([&](const std::string &bytes) {
+        if (!trouble || sent.exchange(true))
+            return;
+        record.line("frontend-a-1 is cut off from the platform; held: "
+                    + bytes.substr(0, bytes.find('\r')));
+        path.cut();
+        storePath.cut();
+        first.terminate();
+        std::thread([&] {
+            sleepMs(cutMs);
+            record.line("the cut heals");
+            path.heal();
+            storePath.heal();
+        }).detach();
+    });
+    group.crash("i-1");
+    // Two writes a second through the second host.
+    for (int i = 0; i < 16; ++i) {
+        Client writer("d" + std::to_string(i), second);
+        if (writer.start("decisions"))
+            writer.query("x" + std::to_string(i), "WRITE b" + std::to_string(i) + " d");
+        sleepMs(400);
+    }
+    first.kill();
+    second.kill();
+
+    const auto seen = cloud.seen();
+    if (seen.empty())
+        cannotRun("nobody requested a promotion");
+    std::uint64_t highest = 0;
+    bool broken = false;
+    for (const Cloud::Promotion &promotion : seen) {
+        if (promotion.fence < highest) {
+            broken = true;
+            record.line("fence " + std::to_string(promotion.fence) + " of " + promotion.holder
+                        + " after fence " + std::to_string(highest));
+        }
+        highest = std::max(highest, promotion.fence);
+    }
+    record.line(broken ? "ONE is broken" : "ONE holds");
+    std::printf("%s\n", broken ? "ONE is broken" : "ONE holds");
+    std::fflush(stdout);
+    std::_Exit(broken ? 1 : 0);
+}
