--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,4 @@
-// The primary crashes. The owner is cut off from the platform (store and cloud API) while its
-// promotion is on the way, and gets SIGTERM.
+// The cloud API is cut off from the owner's host. The primary crashes, and the host gets SIGTERM.
 
 #include "../standin/platform.h"
 
@@ -9,7 +8,9 @@
 {
     const std::string folder = argv[1];
     const bool trouble = std::string(std::getenv("TROUBLE") ? std::getenv("TROUBLE") : "1") != "0";
-    constexpr double cutMs = 1300;
+    constexpr double cutBeforeCrashMs = 500;
+    constexpr double stopAfterCrashMs = 100;
+    constexpr double healAfterCrashMs = 900;
     record.open(std::string(argv[2]));
     record.line(trouble ? "with the disruption" : "without the disruption");
     Store store("127.0.0.1");
@@ -25,9 +26,7 @@
     group.addServer("i-2", "127.0.0.32", "zone-b", false);
     group.addServer("i-3", "127.0.0.33", "zone-c", false);
     Path path("127.0.0.1", "127.0.0.1", cloud.port());
-    Path storePath("127.0.0.1", "127.0.0.1", store.port());
-    Host first("frontend-a-1", "127.0.0.11", "zone-a", {storePath.address(), path.address()},
-               folder);
+    Host first("frontend-a-1", "127.0.0.11", "zone-a", {store.address(), path.address()}, folder);
     Host second("frontend-b-1", "127.0.0.12", "zone-b", {store.address(), cloud.address()}, folder);
     // Started first, so that it owns the group.
     first.start();
@@ -51,23 +50,20 @@
     if (!row || row->find("\"owner\":\"" + first.peerAddress()) == std::string::npos)
         cannotRun("another host owns the group");
 
-    std::atomic<bool> sent {false};
-    path.onFirstBytes([&](const std::string &bytes) {
-        if (!trouble || sent.exchange(true))
-            return;
-        record.line("frontend-a-1 is cut off from the platform; held: "
-                    + bytes.substr(0, bytes.find('\r')));
+    if (trouble) {
+        record.line("the cloud API is cut off from frontend-a-1");
         path.cut();
-        storePath.cut();
-        first.terminate();
+    }
+    sleepMs(cutBeforeCrashMs);
+    group.crash("i-1");
+    if (trouble)
         std::thread([&] {
-            sleepMs(cutMs);
+            sleepMs(stopAfterCrashMs);
+            first.terminate();
+            sleepMs(healAfterCrashMs - stopAfterCrashMs);
             record.line("the cut heals");
             path.heal();
-            storePath.heal();
         }).detach();
-    });
-    group.crash("i-1");
     // Two writes a second through the second host.
     for (int i = 0; i < 16; ++i) {
         Client writer("d" + std::to_string(i), second);
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -608,34 +608,69 @@
 
 // Path
 
+Path::Path(const std::string &ip, const std::string &toIp, int toPort)
+    : ip_(ip), toIp_(toIp), toPort_(toPort), listening_(listenOn(ip, port_, 0))
+{
+    std::thread([this] { acceptAll(); }).detach();
+}
+
+void Path::acceptAll()
+{
+    for (;;) {
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            healed_.wait(lock, [this] { return !cut_; });
+        }
+        pollfd waiting {listening_, POLLIN, 0};
+        constexpr int pollMs = 2;
+        if (::poll(&waiting, 1, pollMs) <= 0)
+            continue;
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (cut_)
+            continue;
+        const int handle = ::accept4(listening_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (handle >= 0)
+            std::thread([this, handle] { serve(handle); }).detach();
+    }
+}
+
+void Path::cut()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    cut_ = true;
+    filler_ = connectTo(ip_, port_);
+}
+
+void Path::heal()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    cut_ = false;
+    ::close(filler_);
+    healed_.notify_all();
+}
+
 void Path::serve(int handle)
 {
     const int to = connectTo(toIp_, toPort_);
-    if (to < 0)
-        return;
-    std::thread back([this, handle, to] { forward(to, handle, false); });
-    forward(handle, to, true);
-    ::shutdown(to, SHUT_RDWR);
-    ::shutdown(handle, SHUT_RDWR);
-    back.join();
-    ::close(to);
+    if (to >= 0) {
+        std::thread back([this, handle, to] { forward(to, handle); });
+        forward(handle, to);
+        ::shutdown(to, SHUT_RDWR);
+        ::shutdown(handle, SHUT_RDWR);
+        back.join();
+        ::close(to);
+    }
+    ::close(handle);
 }
 
-void Path::forward(int from, int to, bool first)
+void Path::forward(int from, int to)
 {
     char bytes[16384];
-    bool isFirst = first;
     for (;;) {
         const ssize_t count = ::recv(from, bytes, sizeof bytes, 0);
         if (count <= 0)
             return;
         std::unique_lock<std::mutex> lock(mutex_);
-        const auto callback = firstBytes_;
-        lock.unlock();
-        if (isFirst && callback)
-            callback(std::string(bytes, static_cast<std::size_t>(count)));
-        isFirst = false;
-        lock.lock();
         const bool held = cut_;
         healed_.wait(lock, [this] { return !cut_; });
         lock.unlock();
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -22,6 +22,7 @@
 #include <mutex>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <set>
 #include <spawn.h>
 #include <sstream>
@@ -76,7 +77,7 @@
 
 // Sockets
 
-inline int listenOn(const std::string &ip, int &port)
+inline int listenOn(const std::string &ip, int &port, int backlog = 512)
 {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
@@ -86,7 +87,7 @@
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     if (::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
-        || ::listen(handle, 512) != 0)
+        || ::listen(handle, backlog) != 0)
         cannotRun("can't listen on " + ip);
     socklen_t size = sizeof address;
     ::getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
@@ -399,45 +400,32 @@
     Listener listener_;
 };
 
-// A network path to an address. While it is cut, it holds what is sent, and passes it on when the
-// cut heals unless the sender has reset the connection meanwhile.
+// A network path to an address. While it is cut, new connections are not opened (their opening
+// packets are dropped, as nobody accepts and the queue is full), and open ones hold what is sent.
 class Path
 {
 public:
-    Path(const std::string &ip, const std::string &toIp, int toPort)
-        : toIp_(toIp), toPort_(toPort), listener_(ip, [this](int handle) { serve(handle); })
-    { }
+    Path(const std::string &ip, const std::string &toIp, int toPort);
 
-    std::string address() const { return listener_.address(); }
-    // Called with the first bytes of each connection, before they are passed on.
-    void onFirstBytes(std::function<void(const std::string &)> callback)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        firstBytes_ = std::move(callback);
-    }
-    void cut()
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        cut_ = true;
-    }
-    void heal()
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        cut_ = false;
-        healed_.notify_all();
-    }
+    std::string address() const { return ip_ + ":" + std::to_string(port_); }
+    void cut();
+    void heal();
 
 private:
+    void acceptAll();
     void serve(int handle);
-    void forward(int from, int to, bool first);
+    void forward(int from, int to);
 
+    const std::string ip_;
     const std::string toIp_;
     const int toPort_;
+    int port_ = 0;
+    int listening_ = -1;
+    // Fills the queue of new connections while the path is cut.
+    int filler_ = -1;
     std::mutex mutex_;
     std::condition_variable healed_;
     bool cut_ = false;
-    std::function<void(const std::string &)> firstBytes_;
-    Listener listener_;
 };
 
 // A process of the system, started with the command of deploy/system.toml in the repository's root
