Review case 3: ends its processes in any case; controls without a disruption

Cause: a run that can't be played left the hosts that it had started, and the control kept the crash of the primary. Change: the script ends all hosts; TROUBLE=0 has no disruption, TROUBLE=crash only the crash.

No functional change

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,4 +1,5 @@
 // The cloud API is cut off from the owner's host. The primary crashes, and the host gets SIGTERM.
+// TROUBLE=0: none of these. TROUBLE=crash: only the crash.
 
 #include "../standin/platform.h"
 
@@ -7,12 +8,16 @@
 int main(int, char **argv)
 {
     const std::string folder = argv[1];
-    const bool trouble = std::string(std::getenv("TROUBLE") ? std::getenv("TROUBLE") : "1") != "0";
+    const std::string mode = std::getenv("TROUBLE") ? std::getenv("TROUBLE") : "1";
+    const bool crash = mode != "0";
+    const bool trouble = crash && mode != "crash";
     constexpr double cutBeforeCrashMs = 500;
     constexpr double stopAfterCrashMs = 100;
     constexpr double healAfterCrashMs = 900;
     record.open(std::string(argv[2]));
-    record.line(trouble ? "with the disruption" : "without the disruption");
+    record.line(trouble     ? "with the disruptions"
+                    : crash ? "with the crash only"
+                            : "without a disruption");
     Store store("127.0.0.1");
     Group group(store, "cases", [](const std::string &) { return 10.0; });
     Cloud cloud("127.0.0.1", group, 300);
@@ -55,7 +60,8 @@
         path.cut();
     }
     sleepMs(cutBeforeCrashMs);
-    group.crash("i-1");
+    if (crash)
+        group.crash("i-1");
     if (trouble)
         std::thread([&] {
             sleepMs(stopAfterCrashMs);
@@ -75,7 +81,7 @@
     second.kill();
 
     const auto seen = cloud.seen();
-    if (seen.empty())
+    if (crash && seen.empty())
         cannotRun("nobody requested a promotion");
     std::uint64_t highest = 0;
     bool broken = false;
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -4,9 +4,18 @@
 
 namespace review {
 
+// Processes that were started and have not been waited for.
+static std::mutex processesMutex;
+static std::set<pid_t> processes;
+
 [[noreturn]] void cannotRun(const std::string &why)
 {
     record.line("the case can't run: " + why);
+    {
+        const std::lock_guard<std::mutex> lock(processesMutex);
+        for (const pid_t process : processes)
+            ::kill(process, SIGKILL);
+    }
     std::fprintf(stderr, "the case can't run: %s\n", why.c_str());
     std::_Exit(2);
 }
@@ -764,6 +773,10 @@
     if (::posix_spawn(&pid_, pointers[0], &actions, nullptr, pointers.data(), environment) != 0)
         cannotRun("kelptallyd can't be started");
     posix_spawn_file_actions_destroy(&actions);
+    {
+        const std::lock_guard<std::mutex> started(processesMutex);
+        processes.insert(pid_);
+    }
     record.line("host " + name_ + " starts");
 }
 
@@ -805,7 +818,7 @@
     int status = 0;
     if (::waitpid(pid_, &status, WNOHANG) != pid_)
         return true;
-    pid_ = 0;
+    forget();
     return false;
 }
 
@@ -816,6 +829,13 @@
         return;
     ::kill(pid_, SIGKILL);
     ::waitpid(pid_, nullptr, 0);
+    forget();
+}
+
+void Host::forget()
+{
+    const std::lock_guard<std::mutex> lock(processesMutex);
+    processes.erase(pid_);
     pid_ = 0;
 }
 
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -459,6 +459,8 @@
     static constexpr double graceMs = 6000;
 
 private:
+    void forget();
+
     const std::string name_;
     const std::string ip_;
     const std::string settings_;
