Promotions: no request is sent, or still on its way, after an owner's end

A former owner's promotion request reached the platform after the new owner's, with a lower fencing token. The same server was named here; with another one, commits acknowledged in between would be lost.

Cause: GroupHost::onEndRequest() confirmed the end of an ownership once no statement or transaction was open. A promotion request that waited for a connection was written up to 1.5 s later, without another look at the ownership. One that was on its way was not awaited either, so cancelling the queue alone would keep the fault.

Fix: the ownership, the step and the lease are checked right before the first byte is sent; the HTTP client sends nothing after a call's timeout; the end is confirmed only once each request that was sent has a definite answer or can no longer arrive (3 s). New log lines: promotion_sent, promotion_withdrawn, end_unconfirmed, end_confirmed.

--- a/src/group/failovercontroller.h
+++ b/src/group/failovercontroller.h
@@ -74,6 +74,9 @@
         return planned_ && (candidateMayLead_ || step_ == Step::Confirming);
     }
 
+    // Whether a promotion request that was sent may still arrive at the platform.
+    bool mayPromotionArrive() const;
+
     // A connection to the server ended or could not be opened.
     void onConnectionFailure(const ServerName &server, ConnectOutcome outcome);
     // The server refused a write.
@@ -161,6 +164,8 @@
     std::vector<decision::LogHolder> listedHolders() const;
     void confirmCandidate(Instant now);
     void promoteCandidate();
+    bool mayRequestPromotion() const;
+    bool onPromotionReady(std::uint64_t stepNumber, const ServerName &candidate);
     void awaitLead(Instant now);
     void discardCandidate();
     void onPrimaryRestarted();
@@ -233,6 +238,9 @@
     // In a planned change: when all replicas other than the candidate had stopped.
     Instant othersStoppedAt_ {};
     Instant promotionSentAt_ {};
+    // Send time of the promotion request that has had no definite answer; nullopt if there is none.
+    // Outlasts the ownership.
+    std::optional<Instant> unansweredPromotionSentAt_;
     // Earliest time of the next promotion request, after the platform has rejected one.
     Instant promoteAfter_ {};
     // Time from the promotion request to the lead in the last change.
--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -373,7 +373,8 @@
     return entry == entries_.end() ? nullptr : &entry->second;
 }
 
-// Answers only once this process no longer owns the group and its transactions have ended here.
+// Answers only once this process no longer owns the group, its transactions have ended here, and
+// none of its promotion requests can arrive after one of the next owner.
 void GroupHost::onEndRequest(inner::LinkId link, const inner::OwnershipEndRequest &request)
 {
     const OwnershipRecord *record = ownership_.record(request.group);
@@ -388,10 +389,16 @@
         quotas_.sendTransfer(link, request.group);
     const auto found = groups_.find(request.group);
     if (found != groups_.end() && !found->second.runner->isIdle()) {
-        if (parts_.timers.now() - found->second.lostAt < transactionDrainTime)
+        const bool awaitsPromotion = found->second.runner->mayPromotionArrive();
+        if (awaitsPromotion || parts_.timers.now() - found->second.lostAt < transactionDrainTime) {
+            parts_.log.info("end_unconfirmed", awaitsPromotion ? "promotion" : "transactions")
+                .with("group", request.group)
+                .with("epoch", request.epoch);
             return;
+        }
         found->second.runner->closeAll();
     }
+    parts_.log.info("end_confirmed").with("group", request.group).with("epoch", request.epoch);
     static_cast<void>(
         parts_.links.sendOn(link, inner::OwnershipEnded {request.group, request.epoch}));
 }
--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -177,7 +177,7 @@
 
 bool GroupRunner::isIdle() const
 {
-    return !active_ && running_.empty() && transactions_.empty();
+    return !active_ && running_.empty() && transactions_.empty() && !mayPromotionArrive();
 }
 
 std::optional<Instant> GroupRunner::oldestWrite() const
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -54,8 +54,11 @@
 
     void onAcquired();
     void onLost();
-    // Returns whether the group is not owned and no statement or transaction is in flight.
+    // Returns whether the group is not owned and no statement, transaction or promotion request is
+    // in flight.
     bool isIdle() const;
+    // See FailoverController.
+    bool mayPromotionArrive() const { return failoverController_.mayPromotionArrive(); }
     // Closes all connections; running statements end as lost.
     void closeAll();
     // Closes idle connections without an answer since the given time.
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -27,6 +27,9 @@
 // rejected. The platform answers in 12 to 26 ms.
 constexpr Duration promotionTimeout = std::chrono::milliseconds(1500);
 constexpr Duration promotionRetryDelay = std::chrono::milliseconds(60);
+// A promotion request may arrive until this time after it was sent, even if the call was aborted:
+// the platform may be slow to read it.
+constexpr Duration maxPromotionArrivalTime = promotionTimeout + promotionTimeout;
 // Interval of queries whether the candidate leads; the longest delay that polling adds to a change.
 constexpr Duration leadPollInterval = std::chrono::milliseconds(20);
 // In a planned change writes are held from writeHoldMargin before the expected lead of the
@@ -344,14 +347,40 @@
                 });
 }
 
+bool FailoverController::mayPromotionArrive() const
+{
+    return unansweredPromotionSentAt_
+        && parts_.timers.now() - *unansweredPromotionSentAt_ < maxPromotionArrivalTime;
+}
+
+// Whether this owner still holds the group when a promotion request sent now has arrived.
+bool FailoverController::mayRequestPromotion() const
+{
+    return parts_.ownership.record(group_) != nullptr && parts_.ownership.owns(group_)
+        && parts_.ownership.leaseLeft(group_) >= maxPromotionArrivalTime;
+}
+
+// Decides, once a connection is open, whether the request of that step is sent.
+bool FailoverController::onPromotionReady(std::uint64_t stepNumber, const ServerName &candidate)
+{
+    const bool isSent = stepNumber == stepNumber_ && mayRequestPromotion();
+    parts_.log.info(isSent ? "promotion_sent" : "promotion_withdrawn")
+        .with("group", group_)
+        .with("candidate", candidate)
+        .with("epoch", epoch())
+        .with("waited_ms", parts_.timers.now() - promotionSentAt_)
+        .with("lease_left_ms", parts_.ownership.leaseLeft(group_));
+    if (isSent) {
+        promotionSentAt_ = parts_.timers.now();
+        unansweredPromotionSentAt_ = promotionSentAt_;
+    }
+    return isSent;
+}
+
 void FailoverController::promoteCandidate()
 {
     enterStep(Step::Promoting);
-    const OwnershipRecord *record = parts_.ownership.record(group_);
-    // The lease must outlast the time in which the promotion request may arrive.
-    if (record == nullptr
-        || parts_.ownership.leaseLeft(group_) < promotionTimeout + promotionTimeout
-        || !parts_.ownership.owns(group_)) {
+    if (!mayRequestPromotion()) {
         if (planned_ && !candidateMayLead_)
             events_.onCandidateNotLeading(parts_.timers.now(), maxPosition);
         enterStep(Step::StoppingReplicas);
@@ -362,9 +391,19 @@
     const bool mightHaveLed = candidateMayLead_;
     candidateMayLead_ = true;
     const std::uint64_t stepNumber = stepNumber_;
+    const auto sent = std::make_shared<bool>(false);
+    PromotionRequest request;
+    request.group = group_;
+    request.server = candidate_;
+    request.fencingToken = epoch();
+    request.timeout = promotionTimeout;
+    request.maySend = [this, alive = alive_, stepNumber, candidate = candidate_, sent] {
+        *sent = *alive && onPromotionReady(stepNumber, candidate);
+        return *sent;
+    };
     parts_.promotions.promote(
-        group_, candidate_, record->epoch, promotionTimeout,
-        [this, alive = alive_, stepNumber, mightHaveLed](PromotionOutcome outcome) {
+        std::move(request),
+        [this, alive = alive_, stepNumber, mightHaveLed, sent](PromotionOutcome outcome) {
             if (!*alive)
                 return;
             parts_.log.info("promotion_answered")
@@ -372,6 +411,8 @@
                 .with("candidate", candidate_)
                 .with("outcome", static_cast<int>(outcome))
                 .with("took_ms", parts_.timers.now() - promotionSentAt_);
+            if (*sent && outcome != PromotionOutcome::Unknown)
+                unansweredPromotionSentAt_.reset();
             if (stepNumber != stepNumber_)
                 return;
             if (outcome == PromotionOutcome::NotRunning || outcome == PromotionOutcome::TryAgain)
--- a/src/group/serverinterface.h
+++ b/src/group/serverinterface.h
@@ -194,22 +194,35 @@
     Accepted,
     // The named server is not running.
     NotRunning,
-    // Nothing was done; the call may be repeated.
+    // Nothing was sent or done; the call may be repeated.
     TryAgain,
     // The promotion may have taken place.
     Unknown,
 };
 
+// A request to make a server the primary of its group.
+struct PromotionRequest
+{
+    GroupName group;
+    ServerName server;
+    // Must not be lower than any used before for the group.
+    OwnerEpoch fencingToken = 0;
+    // The call is aborted after this time.
+    Duration timeout {0};
+    // Called right before the request is sent, as it may have waited for a connection. If it
+    // returns false, the request is not sent and the outcome is TryAgain.
+    std::function<bool()> maySend;
+};
+
 // Interface to the platform's promotion of a group's next primary.
 class PromotionService
 {
 public:
     virtual ~PromotionService() = default;
 
-    // Requests the promotion of the server. The fencing token must not be lower than any used
-    // before for the group. The call is aborted after the timeout.
-    virtual void promote(const GroupName &group, const ServerName &server, OwnerEpoch fencingToken,
-                         Duration timeout, std::function<void(PromotionOutcome)> callback) = 0;
+    // Calls back exactly once.
+    virtual void promote(PromotionRequest request,
+                         std::function<void(PromotionOutcome)> callback) = 0;
 };
 
 } // namespace kelptally::group
--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -87,6 +87,8 @@
     bool sent = false;
     // When a connection was assigned to the call.
     Instant startedAt {};
+    // When the call ends if nothing of its answer has arrived.
+    Instant expiresAt {};
     AnswerProgress progress;
     // When the first and the last bytes of the answer arrived.
     Instant firstReceivedAt {};
@@ -134,6 +136,7 @@
     void release(const ConnectionPtr &connection);
     void remove(const ConnectionPtr &connection);
     void onTimeout(const CallPtr &call);
+    void endUnsent(const CallPtr &call, const char *reason);
     void retry(const CallPtr &call);
     void finish(const CallPtr &call, absl::StatusOr<HttpResponse> result);
 
@@ -225,9 +228,16 @@
 
 void HttpClient::Pool::Connection::write()
 {
-    if (!call_ || call_->done)
+    const auto pool = pool_.lock();
+    const CallPtr call = call_;
+    if (!pool || !call || call->done)
         return;
-    call_->sent = true;
+    // After a pause of the process the connection may be handled before the overdue timer.
+    if (pool->timers_.now() >= call->expiresAt)
+        return pool->endUnsent(call, ": no connection within the timeout");
+    if (call->request.maySend && !call->request.maySend())
+        return pool->endUnsent(call, ": withdrawn by its caller");
+    call->sent = true;
     http::async_write(socket_, request_,
                       [self = shared_from_this()](const Error &error, std::size_t) {
                           if (error)
@@ -341,7 +351,8 @@
         return;
     }
     call->timeout = timeout - call->request.longPollTime;
-    startTimeout(call, timers_.now() + timeout);
+    call->expiresAt = timers_.now() + timeout;
+    startTimeout(call, call->expiresAt);
     queue_.push_back(call);
     dispatch();
 }
@@ -496,6 +507,18 @@
     finish(call, call->sent ? absl::DeadlineExceededError(text) : absl::UnavailableError(text));
 }
 
+// Ends a call of which nothing was sent, and closes its connection.
+void HttpClient::Pool::endUnsent(const CallPtr &call, const char *reason)
+{
+    closeConnectionOf(call);
+    const std::weak_ptr<Pool> weak = shared_from_this();
+    // The caller may be within send().
+    asio::post(context_, [weak, call, reason] {
+        if (const auto pool = weak.lock())
+            pool->finish(call, absl::UnavailableError(pool->address_ + reason));
+    });
+}
+
 void HttpClient::Pool::retry(const CallPtr &call)
 {
     call->retried = true;
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -4,6 +4,7 @@
 #include "core/dutythread.h"
 #include "services/answercallback.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -44,6 +45,9 @@
     std::vector<HttpField> fields;
     // Time by which the server may delay its answer (long polling).
     Duration longPollTime {0};
+    // If set, called right before the first byte is sent. If it returns false, nothing is sent and
+    // the call ends with Unavailable.
+    std::function<bool()> maySend;
 };
 
 struct HttpResponse
@@ -58,7 +62,8 @@
 
 // Client of one HTTP/1.1 server with a small pool of keep-alive connections. Used on the duty
 // thread only, which must outlive it. Callbacks are called there, each exactly once and never from
-// within send(). Destroying the client drops open calls without a callback.
+// within send(). No request is sent after its timeout. Destroying the client drops open calls
+// without a callback.
 //
 // Errors: Unavailable when nothing of the request was sent; DeadlineExceeded when it was sent and
 // the answer did not arrive in time; Cancelled when its caller refused the rest of the answer;
--- a/tests/host/fleetwork_test.cpp
+++ b/tests/host/fleetwork_test.cpp
@@ -215,9 +215,7 @@
     void connect(const group::ServerAddress &, const OrganisationName &, Duration,
                  group::ServerConnectCallback) override
     { }
-    void promote(const GroupName &, const ServerName &, OwnerEpoch, Duration,
-                 std::function<void(group::PromotionOutcome)>) override
-    { }
+    void promote(group::PromotionRequest, std::function<void(group::PromotionOutcome)>) override { }
     void stopAccepting() override { }
     void closeIdle(std::size_t) override { }
     std::size_t count() const override { return 0; }
--- a/tests/host/modelcluster.cpp
+++ b/tests/host/modelcluster.cpp
@@ -70,8 +70,10 @@
                  services::ChangesCallback callback) override;
 
     // Promotion
-    void promote(const GroupName &, const ServerName &server, OwnerEpoch token, Duration timeout,
+    void promote(group::PromotionRequest request,
                  std::function<void(group::PromotionOutcome)> callback) override;
+    struct PromotionCall;
+    void sendPromotion(const std::shared_ptr<PromotionCall> &call);
 
     // Callers
     void stopAccepting() override { }
@@ -89,6 +91,13 @@
     bool partitioned = false;
     bool linksPartitioned = false;
     bool linksRefused = false;
+    // See ModelCluster::blockPromotions() and delayPromotions().
+    bool promotionsBlocked = false;
+    Duration promotionDelay {linkDelay};
+    int waitingPromotions = 0;
+    int sentPromotions = 0;
+    // Server of the last request.
+    ServerName requestedCandidate;
     bool isIsolated() const { return partitioned || linksPartitioned || linksRefused; }
     // Returns the result of a probe by a host that can reach this one.
     ProbeOutcome probeOutcomeFor(const ModelHost &other) const
@@ -517,17 +526,55 @@
         countsAsCall);
 }
 
-void ModelHost::promote(const GroupName &, const ServerName &server, OwnerEpoch token,
-                        Duration timeout, std::function<void(group::PromotionOutcome)> callback)
+struct ModelHost::PromotionCall
+{
+    group::PromotionRequest request;
+    Instant expiresAt {};
+    std::function<void(group::PromotionOutcome)> callback;
+    bool done = false;
+
+    void finish(group::PromotionOutcome outcome)
+    {
+        if (!std::exchange(done, true))
+            callback(outcome);
+    }
+};
+
+void ModelHost::promote(group::PromotionRequest request,
+                        std::function<void(group::PromotionOutcome)> callback)
 {
     if (partitioned) {
-        timers.subscribeAfter(timeout, [callback] { callback(group::PromotionOutcome::Unknown); });
+        timers.subscribeAfter(request.timeout,
+                              [callback] { callback(group::PromotionOutcome::Unknown); });
         return;
     }
-    cluster.timers.subscribeAfter(linkDelay, [this, alive = timers.alive, server, token, callback] {
-        const auto outcome = cluster.group.promote(server, token);
+    const Instant expiresAt = timers.now() + request.timeout;
+    const auto call = std::make_shared<PromotionCall>(
+        PromotionCall {std::move(request), expiresAt, std::move(callback)});
+    ++waitingPromotions;
+    requestedCandidate = call->request.server;
+    sendPromotion(call);
+}
+
+// Sends the request once a connection can be opened. Like a socket that has become ready, an open
+// connection is handled before a timeout that has passed meanwhile.
+void ModelHost::sendPromotion(const std::shared_ptr<PromotionCall> &call)
+{
+    constexpr Duration connectInterval = std::chrono::milliseconds(5);
+    if (promotionsBlocked && timers.now() < call->expiresAt) {
+        timers.subscribeAfter(connectInterval, [this, call] { sendPromotion(call); });
+        return;
+    }
+    --waitingPromotions;
+    if (promotionsBlocked || !call->request.maySend())
+        return call->finish(group::PromotionOutcome::TryAgain);
+    ++sentPromotions;
+    timers.subscribeAt(call->expiresAt, [call] { call->finish(group::PromotionOutcome::Unknown); });
+    cluster.timers.subscribeAfter(promotionDelay, [this, alive = timers.alive, call] {
+        const auto outcome =
+            cluster.group.promote(call->request.server, call->request.fencingToken);
         if (*alive)
-            timers.subscribeAfter(linkDelay, [callback, outcome] { callback(outcome); });
+            timers.subscribeAfter(linkDelay, [call, outcome] { call->finish(outcome); });
     });
 }
 
@@ -809,6 +856,31 @@
             host->process->servers().onMissing(server);
 }
 
+void ModelCluster::blockPromotions(std::size_t host, bool blocked)
+{
+    hosts[host]->promotionsBlocked = blocked;
+}
+
+void ModelCluster::delayPromotions(std::size_t host, Duration delay)
+{
+    hosts[host]->promotionDelay = delay;
+}
+
+int ModelCluster::waitingPromotions(std::size_t host) const
+{
+    return hosts[host]->waitingPromotions;
+}
+
+ServerName ModelCluster::requestedCandidate(std::size_t host) const
+{
+    return hosts[host]->requestedCandidate;
+}
+
+int ModelCluster::sentPromotions(std::size_t host) const
+{
+    return hosts[host]->sentPromotions;
+}
+
 void ModelCluster::drain(std::size_t host)
 {
     hosts[host]->sessions = 1;
--- a/tests/host/modelcluster.h
+++ b/tests/host/modelcluster.h
@@ -90,6 +90,16 @@
     void refuseLinks(std::size_t host, bool refused);
     // Separates the host from the store only.
     void partitionFromStore(std::size_t host, bool partitioned);
+    // Separates the host from the platform's promotion call only: requests wait for a connection.
+    void blockPromotions(std::size_t host, bool blocked);
+    // Sets the time that later promotion requests of the host are on their way. They arrive even if
+    // the host has given them up.
+    void delayPromotions(std::size_t host, Duration delay);
+    // Return the host's promotion requests that wait for a connection, and the number sent so far.
+    int waitingPromotions(std::size_t host) const;
+    int sentPromotions(std::size_t host) const;
+    // Returns the server named in the host's last promotion request.
+    ServerName requestedCandidate(std::size_t host) const;
     std::string address(std::size_t host) const;
     bool isUp(std::size_t host) const;
     // Returns the link on which the host sends to the other one; 0 if there is none.
--- /dev/null
+++ b/tests/host/promotionorder_test.cpp
@@ -0,0 +1,98 @@
+#include "modelcluster.h"
+
+#include <catch2/catch.hpp>
+
+// Promotion requests must reach the platform in the order of their fencing tokens.
+using namespace kelptally;
+using namespace kelptally::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Longer than a lease and its margin.
+constexpr Duration pastLeaseExpiry = 16s;
+
+void waitUntilReady(ModelCluster &cluster)
+{
+    REQUIRE(cluster.timeToWrite(0, 5s));
+    REQUIRE(cluster.runUntil(10s, [&] { return cluster.allHostsKnowOwner(); }));
+    cluster.run(500ms);
+}
+
+void crashPrimary(ModelCluster &cluster)
+{
+    cluster.group.crash(cluster.group.primary());
+}
+
+// Runs until another host owns the group, and returns that host.
+std::size_t waitForOwnerOtherThan(ModelCluster &cluster, std::size_t former)
+{
+    const Instant end = cluster.timers.now() + pastLeaseExpiry;
+    while (std::size_t(cluster.owner()) == former && cluster.timers.now() < end) {
+        cluster.write(former == 0 ? 1 : 0);
+        cluster.run(20ms);
+    }
+    REQUIRE(std::size_t(cluster.owner()) != former);
+    return std::size_t(cluster.owner());
+}
+
+void checkServedWithoutViolation(ModelCluster &cluster, std::size_t host)
+{
+    CHECK(cluster.timeToWrite(host, pastLeaseExpiry));
+    cluster.run(5s);
+    cluster.checkStatementResults();
+    CHECK(cluster.group.promotions > 0);
+    CHECK(cluster.violations.all == std::vector<std::string>());
+}
+
+} // namespace
+
+TEST_CASE("A former owner's promotion request that waits for a connection is not sent")
+{
+    ModelCluster cluster(GENERATE(1, 2, 3, 4, 5));
+    waitUntilReady(cluster);
+    const std::size_t former = std::size_t(cluster.owner());
+    cluster.blockPromotions(former, true);
+    crashPrimary(cluster);
+    REQUIRE(cluster.runUntil(5s, [&] { return cluster.waitingPromotions(former) > 0; }));
+    cluster.drain(former);
+    const std::size_t next = waitForOwnerOtherThan(cluster, former);
+    REQUIRE(cluster.runUntil(5s, [&] { return cluster.sentPromotions(next) > 0; }));
+    cluster.run(10ms);
+    REQUIRE(cluster.waitingPromotions(former) > 0);
+    cluster.blockPromotions(former, false);
+    checkServedWithoutViolation(cluster, next);
+    CHECK(cluster.sentPromotions(former) == 0);
+}
+
+TEST_CASE("An owner's end is not confirmed while its promotion request may still arrive")
+{
+    // A request that takes over 1.5 s has been given up by its sender before it arrives.
+    const Duration delay = GENERATE(Duration(200ms), Duration(1s), Duration(2s), Duration(2800ms));
+    CAPTURE(toMilliseconds(delay));
+    ModelCluster cluster(GENERATE(1, 2, 3));
+    waitUntilReady(cluster);
+    const std::size_t former = std::size_t(cluster.owner());
+    cluster.delayPromotions(former, delay);
+    crashPrimary(cluster);
+    REQUIRE(cluster.runUntil(5s, [&] { return cluster.sentPromotions(former) > 0; }));
+    cluster.drain(former);
+    checkServedWithoutViolation(cluster, waitForOwnerOtherThan(cluster, former));
+}
+
+TEST_CASE("A promotion request that waited while its owner's lease expired is not sent")
+{
+    ModelCluster cluster(GENERATE(1, 2, 3));
+    waitUntilReady(cluster);
+    const std::size_t former = std::size_t(cluster.owner());
+    cluster.blockPromotions(former, true);
+    crashPrimary(cluster);
+    REQUIRE(cluster.runUntil(5s, [&] { return cluster.waitingPromotions(former) > 0; }));
+    cluster.freeze(former, pastLeaseExpiry);
+    cluster.blockPromotions(former, false);
+    const std::size_t next = waitForOwnerOtherThan(cluster, former);
+    checkServedWithoutViolation(cluster, next);
+    cluster.run(pastLeaseExpiry);
+    CHECK(cluster.violations.all == std::vector<std::string>());
+    CHECK(cluster.sentPromotions(former) == 0);
+}
