Promotions: another replica is promoted only after an unanswered request

Cause: a discarded candidate's request was forgotten with it. Only servers that report themselves as the primary were held against requests in flight.

Fix: no candidate is chosen and no planned change begins while a request of this process may still arrive. A definite answer or the candidate's lead ends the wait, so nothing changes when the platform answers.

--- a/src/group/failovercontroller.cpp
+++ b/src/group/failovercontroller.cpp
@@ -315,7 +315,7 @@
     refreshHolders(now);
     // 2. Replace a leaving primary while it serves.
     if (server->listed().leaving && servers_.size() > 1 && now >= plannedChangeAfter_
-        && parts_.ownership.isSoleOwner(group_))
+        && parts_.ownership.isSoleOwner(group_) && !mayPromotionArrive())
         return beginChange("leaving", true);
     // 3. Replace a primary that acknowledges nothing although its replicas were checked.
     checkCommitProgress(now);
--- a/src/group/primarychange.cpp
+++ b/src/group/primarychange.cpp
@@ -230,6 +230,9 @@
     if (step_ != Step::StoppingReplicas || !parts_.ownership.hasLease(group_)
         || !parts_.ownership.isSoleOwner(group_))
         return;
+    // An earlier request that arrives later would replace the new primary.
+    if (mayPromotionArrive())
+        return;
     if (planned_)
         return chooseForPlannedChange();
     const decision::ReplicaChoice choice = decision::chooseReplica(choiceState(now));
@@ -494,6 +497,7 @@
     }
     const Duration took = parts_.timers.now() - promotionSentAt_;
     measuredLeadTime_ = took;
+    unansweredPromotionSentAt_.reset();
     parts_.log.warning("primary_changed")
         .with("group", group_)
         .with("primary", candidate_)
--- a/tests/host/promotionorder_test.cpp
+++ b/tests/host/promotionorder_test.cpp
@@ -96,3 +96,29 @@
     CHECK(cluster.violations.all == std::vector<std::string>());
     CHECK(cluster.sentPromotions(former) == 0);
 }
+
+TEST_CASE("Another replica is promoted only once an unanswered promotion request can't arrive")
+{
+    ModelCluster cluster(GENERATE(1, 2, 3));
+    waitUntilReady(cluster);
+    const std::size_t owner = std::size_t(cluster.owner());
+    const ServerName crashed = cluster.group.primary();
+    cluster.delayPromotions(owner, 2900ms);
+    cluster.group.crash(crashed);
+    REQUIRE(cluster.runUntil(5s, [&] { return cluster.sentPromotions(owner) > 0; }));
+    const ServerName candidate = cluster.requestedCandidate(owner);
+    cluster.delayPromotions(owner, 1ms);
+    // The candidate runs on, but neither the owner nor the other servers reach it.
+    cluster.run(1400ms);
+    cluster.group.partitions.insert({cluster.address(owner), candidate});
+    cluster.group.silenceConnections(candidate);
+    cluster.group.servers().at(candidate).stalled = true;
+    cluster.group.restart(crashed);
+    for (int i = 0; i < 300; ++i) {
+        cluster.write(owner);
+        cluster.run(10ms);
+    }
+    cluster.group.servers().at(candidate).stalled = false;
+    cluster.group.healPartition(cluster.address(owner), candidate);
+    checkServedWithoutViolation(cluster, owner);
+}
