--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -69,6 +69,16 @@
     ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &maxProbes, sizeof maxProbes);
 }
 
+void preventLateDelivery(Tcp::socket &socket, Duration timeout)
+{
+    Error ignored;
+    // Closing the socket resets the connection, also when the process is killed.
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    const auto milliseconds = static_cast<unsigned>(toMilliseconds(timeout));
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+                 sizeof milliseconds);
+}
+
 std::string unquoted(boost::beast::string_view tag)
 {
     if (tag.size() >= 2 && tag.front() == '"' && tag.back() == '"')
@@ -106,8 +116,10 @@
 class HttpClient::Pool : public std::enable_shared_from_this<Pool>
 {
 public:
-    Pool(DutyThread &thread, const std::string &address, Duration timeout)
-        : context_(thread.context()), timers_(thread.timers()), address_(address), timeout_(timeout)
+    Pool(DutyThread &thread, const std::string &address, Duration timeout,
+         LateDelivery lateDelivery)
+        : context_(thread.context()), timers_(thread.timers()), address_(address),
+          timeout_(timeout), lateDelivery_(lateDelivery)
     {
         if (const auto endpoint = settings::parseEndpoint(address))
             endpoint_ = Tcp::endpoint(asio::ip::make_address(endpoint->address),
@@ -145,6 +157,7 @@
     const std::string address_;
     Tcp::endpoint endpoint_;
     const Duration timeout_;
+    const LateDelivery lateDelivery_;
     std::deque<CallPtr> queue_;
     std::vector<ConnectionPtr> idle_;
     std::vector<ConnectionPtr> busy_;
@@ -222,6 +235,9 @@
         Error ignored;
         self->socket_.set_option(Tcp::no_delay(true), ignored);
         enableKeepAlive(self->socket_);
+        const auto pool = self->pool_.lock();
+        if (pool && pool->lateDelivery_ == LateDelivery::Prevented)
+            preventLateDelivery(self->socket_, pool->timeout_);
         self->write();
     });
 }
@@ -582,8 +598,9 @@
     idle_.clear();
 }
 
-HttpClient::HttpClient(DutyThread &thread, const std::string &address, Duration timeout)
-    : pool_(std::make_shared<Pool>(thread, address, timeout))
+HttpClient::HttpClient(DutyThread &thread, const std::string &address, Duration timeout,
+                       LateDelivery lateDelivery)
+    : pool_(std::make_shared<Pool>(thread, address, timeout, lateDelivery))
 { }
 
 HttpClient::~HttpClient()
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -58,6 +58,15 @@
     std::string body;
 };
 
+// What happens to request bytes that have not arrived when the process ends or stands still. The
+// operating system goes on sending them unless it is told otherwise.
+enum class LateDelivery {
+    Allowed,
+    // The bytes are discarded when the process ends, or when they have not been acknowledged
+    // within the client's timeout.
+    Prevented,
+};
+
 using HttpCallback = AnswerCallback<HttpResponse>;
 
 // Client of one HTTP/1.1 server with a small pool of keep-alive connections. Used on the duty
@@ -76,7 +85,8 @@
 public:
     // The address is "ip:port". The timeout covers a call from send() to the first bytes of its
     // answer, and then each pause between bytes.
-    HttpClient(DutyThread &thread, const std::string &address, Duration timeout);
+    HttpClient(DutyThread &thread, const std::string &address, Duration timeout,
+               LateDelivery lateDelivery = LateDelivery::Allowed);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/tests/services/httpsend_test.cpp
+++ b/tests/services/httpsend_test.cpp
@@ -5,10 +5,13 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <csignal>
 #include <mutex>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
-// Requests that must not be sent any more when a connection is ready.
+// Requests that must not be sent, or must not arrive, after their time.
 using namespace kelptally;
 using namespace kelptally::services;
 using namespace std::chrono_literals;
@@ -90,8 +93,103 @@
     });
 }
 
+// A process that posts a large request to a server that doesn't read yet, so that most of the
+// request waits in the sender's socket.
+class StalledSender
+{
+public:
+    static constexpr Duration timeout = 1s;
+    static constexpr std::size_t bodySize = 32u << 20;
+    // Limits what the server's socket holds before the server reads.
+    static constexpr std::size_t receiveBufferSize = 64u << 10;
+
+    StalledSender() : acceptor_(context_)
+    {
+        acceptor_.open(Tcp::v4());
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferSize / 4));
+        acceptor_.bind(Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        acceptor_.listen();
+        process_ = ::fork();
+        REQUIRE(process_ >= 0);
+        if (process_ == 0)
+            postAndWait(PlatformFixture::addressOf(acceptor_.local_endpoint().port()));
+        socket_.emplace(acceptor_.accept());
+        std::this_thread::sleep_for(300ms);
+    }
+
+    ~StalledSender() { end(); }
+
+    void signal(int number) { ::kill(process_, number); }
+
+    void end()
+    {
+        if (process_ == 0)
+            return;
+        ::kill(process_, SIGKILL);
+        ::waitpid(process_, nullptr, 0);
+        process_ = 0;
+    }
+
+    // Returns how much arrives until the stream ends, or pauses for the time.
+    std::size_t receive(Duration maxPause)
+    {
+        std::vector<char> bytes(1u << 20);
+        std::size_t total = 0;
+        boost::system::error_code error;
+        socket_->non_blocking(true);
+        for (Instant last = BootClock::now(); BootClock::now() - last < maxPause;) {
+            const std::size_t count = socket_->read_some(boost::asio::buffer(bytes), error);
+            if (error && error != boost::asio::error::would_block)
+                break;
+            total += count;
+            if (count > 0)
+                last = BootClock::now();
+            else
+                std::this_thread::sleep_for(1ms);
+        }
+        return total;
+    }
+
+private:
+    [[noreturn]] static void postAndWait(const std::string &address)
+    {
+        DutyThread thread("client");
+        HttpClient client(thread, address, timeout, LateDelivery::Prevented);
+        thread.start();
+        boost::asio::post(thread.context(), [&client] {
+            HttpRequest request = postRequest();
+            request.body.assign(bodySize, 'x');
+            client.send(std::move(request), 60s, [](const auto &) {});
+        });
+        for (;;)
+            ::pause();
+    }
+
+    boost::asio::io_context context_;
+    Tcp::acceptor acceptor_;
+    std::optional<Tcp::socket> socket_;
+    pid_t process_ = 0;
+};
+
 } // namespace
 
+TEST_CASE("The rest of a request is not delivered after its process was killed")
+{
+    StalledSender sender;
+    sender.end();
+    const std::size_t afterKill = sender.receive(1s);
+    CHECK(afterKill < StalledSender::receiveBufferSize);
+}
+
+TEST_CASE("The rest of a request is not delivered after the timeout while its process stands still")
+{
+    StalledSender sender;
+    sender.signal(SIGSTOP);
+    std::this_thread::sleep_for(2 * StalledSender::timeout);
+    const std::size_t afterTimeout = sender.receive(1s);
+    CHECK(afterTimeout < StalledSender::receiveBufferSize);
+}
+
 TEST_CASE("A request whose connection is ready only after its timeout is not sent")
 {
     PlatformFixture fixture;
