Group servers: no command is sent after the end of an ownership

Callers: none seen. A command of a former owner that arrives after the next owner has begun stops or resumes replicas that the next owner relies on, or makes its primary step down; writes then wait.

A command that waited for its connection was sent when the connection opened, however long after the owner had closed all connections. While a group was idle but its connections not closed yet (up to 100 ms), the end was confirmed with commands in flight.

Fix: closing all connections of a server also withdraws the commands that wait for one, and an end is confirmed only after they were closed.

--- a/src/group/grouphost.cpp
+++ b/src/group/grouphost.cpp
@@ -388,15 +388,18 @@
     if (isOwner)
         quotas_.sendTransfer(link, request.group);
     const auto found = groups_.find(request.group);
-    if (found != groups_.end() && !found->second.runner->isIdle()) {
-        const bool awaitsPromotion = found->second.runner->mayPromotionArrive();
-        if (awaitsPromotion || parts_.timers.now() - found->second.lostAt < transactionDrainTime) {
+    if (found != groups_.end()) {
+        GroupRunner &runner = *found->second.runner;
+        const bool awaitsPromotion = runner.mayPromotionArrive();
+        const bool isDraining = parts_.timers.now() - found->second.lostAt < transactionDrainTime;
+        if (awaitsPromotion || (isDraining && !runner.isIdle())) {
             parts_.log.info("end_unconfirmed", awaitsPromotion ? "promotion" : "transactions")
                 .with("group", request.group)
                 .with("epoch", request.epoch);
             return;
         }
-        found->second.runner->closeAll();
+        // No command to a server may follow the confirmation.
+        runner.closeAll();
     }
     parts_.log.info("end_confirmed").with("group", request.group).with("epoch", request.epoch);
     static_cast<void>(
--- a/src/group/groupserver.cpp
+++ b/src/group/groupserver.cpp
@@ -98,6 +98,7 @@
 
 void GroupServer::closeAll()
 {
+    ++closings_;
     closeBefore(Instant());
 }
 
@@ -196,13 +197,14 @@
     onSend();
     if (control_ && control_->isOpen() && !controlBusy_)
         return runControl(std::move(command), timeout, std::move(callback));
-    const auto connected = [this, alive = alive_, command, timeout, callback,
+    const auto connected = [this, alive = alive_, command, timeout, callback, closings = closings_,
                             began = parts_.timers.now()](ConnectOutcome outcome,
                                                          const ServerConnectionPtr &connection) {
-        if (!*alive || outcome != ConnectOutcome::Ok) {
+        const bool isWithdrawn = !*alive || closings != closings_;
+        if (isWithdrawn || outcome != ConnectOutcome::Ok) {
             if (connection)
                 connection->close();
-            if (*alive) {
+            if (!isWithdrawn) {
                 recordOutcome(outcome, began);
                 parts_.onConnectionFailure(listed_.id(), outcome);
             }
--- a/src/group/groupserver.h
+++ b/src/group/groupserver.h
@@ -72,7 +72,8 @@
     // Opens connections for the slots in advance.
     void warmUp();
     void closeIdle() { pool_.closeIdle(); }
-    // Closes all connections; running batches end as lost.
+    // Closes all connections; running batches end as lost, and so do commands that wait for a
+    // connection.
     void closeAll();
 
     // See ServerPool.
@@ -152,6 +153,8 @@
     ServerPool pool_;
     ServerConnectionPtr control_;
     bool controlBusy_ = false;
+    // Number of calls of closeAll().
+    std::uint64_t closings_ = 0;
     int inFlight_ = 0;
     decision::SlotWindow window_;
     // Last time at which the server closed or refused a connection. Connections opened since then
