Logs: how long a host waited for rows its relay left out, and late timers

No change of behaviour. For a configuration that is late on single hosts the logs could not tell whether the host waited by its own decision, whether its relay announced the change late, or whether the process itself stood still:

- table_asked has announced_ms, the time since the relay announced rows that it left out, beside age_ms;

No functional change

--- a/src/core/dutythread.cpp
+++ b/src/core/dutythread.cpp
@@ -16,6 +16,7 @@
     {
         explicit Entry(boost::asio::io_context &context) : timer(context) { }
         BootTimer timer;
+        Instant dueAt {};
         Callback callback;
         Duration period {0};
     };
@@ -29,6 +30,7 @@
         entry->callback = std::move(callback);
         entry->period = period;
         entry->timer.expires_at(when);
+        entry->dueAt = std::max(when, BootClock::now());
         entries.emplace(id, entry);
         wait(id, entry);
         return id;
@@ -45,11 +47,14 @@
     // Rearms a periodic timer before its callback runs, so that the callback can cancel it.
     void fire(TimerId id, const std::shared_ptr<Entry> &entry)
     {
+        const Instant now = BootClock::now();
+        if (onLate && now - entry->dueAt >= lateThreshold)
+            onLate(now - entry->dueAt);
         if (entry->period.count() == 0) {
             entries.erase(id);
         } else {
-            entry->timer.expires_at(
-                std::max(entry->timer.expiry() + entry->period, BootClock::now()));
+            entry->dueAt = std::max(entry->timer.expiry() + entry->period, now);
+            entry->timer.expires_at(entry->dueAt);
             wait(id, entry);
         }
         entry->callback();
@@ -58,6 +63,8 @@
     boost::asio::io_context &context;
     TimerId lastId = 0;
     std::map<TimerId, std::shared_ptr<Entry>> entries;
+    Duration lateThreshold {0};
+    std::function<void(Duration)> onLate;
 };
 
 AsioTimerService::AsioTimerService(boost::asio::io_context &context)
@@ -86,6 +93,13 @@
     entry->timer.cancel();
 }
 
+void AsioTimerService::reportLateness(Duration threshold,
+                                      std::function<void(Duration lateness)> callback)
+{
+    d_->lateThreshold = threshold;
+    d_->onLate = std::move(callback);
+}
+
 DutyThread::DutyThread(std::string name)
     : name_(std::move(name)), work_(boost::asio::make_work_guard(context_))
 { }
--- a/src/core/dutythread.h
+++ b/src/core/dutythread.h
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -27,6 +28,9 @@
     TimerId subscribeEvery(Duration period, Callback callback) override;
     void cancel(TimerId id) override;
 
+    // Calls back for each timer that fires at least this long after it was due.
+    void reportLateness(Duration threshold, std::function<void(Duration lateness)> callback);
+
 private:
     struct Private;
     std::unique_ptr<Private> d_;
@@ -47,7 +51,7 @@
     void stop();
 
     boost::asio::io_context &context() { return context_; }
-    TimerService &timers() { return timers_; }
+    AsioTimerService &timers() { return timers_; }
 
 private:
     const std::string name_;
--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -385,10 +385,13 @@
                  "Polls of the table service for changes, by reason", {{"reason", why}})
         .Increment();
     const bool isRoutine = isRelay();
-    parts_.log.line(isRoutine ? LogLevel::Debug : LogLevel::Info, "table_asked", why)
-        .with("table", table.name)
+    LogLine line =
+        parts_.log.line(isRoutine ? LogLevel::Debug : LogLevel::Info, "table_asked", why);
+    line.with("table", table.name)
         .with("after", table.upTo)
         .with("age_ms", parts_.timers.now() - table.confirmedAt);
+    if (table.needsPoll)
+        line.with("announced_ms", parts_.timers.now() - table.announcedAt);
     const std::uint64_t poll = ++lastPoll_;
     table.pendingPoll = poll;
     table.pendingPollWait = wait;
@@ -696,9 +699,11 @@
 {
     // Leaves the preferred relay time to send the rows.
     const Duration spread = table.wait / spreadDivisor;
-    if (!table.needsPoll)
-        table.pollAt = parts_.timers.now() + spread
+    if (!table.needsPoll) {
+        table.announcedAt = parts_.timers.now();
+        table.pollAt = table.announcedAt + spread
             + std::chrono::duration_cast<Duration>(spread * parts_.draw());
+    }
     table.needsPoll = true;
     pollIfDue(table);
 }
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -124,6 +124,7 @@
         // Set when changes up to neededVersion must be read from the service at pollAt.
         bool needsPoll = false;
         std::uint64_t neededVersion = 0;
+        Instant announcedAt {};
         Instant pollAt {};
         double draw = 0;
         TimerId timer = 0;
--- a/tests/core/dutythread_test.cpp
+++ b/tests/core/dutythread_test.cpp
@@ -46,3 +46,18 @@
     CHECK(ticks == 3);
     CHECK_FALSE(cancelledFired);
 }
+
+TEST_CASE("timers that fire late are reported with their lateness")
+{
+    DutyThread thread("test");
+    std::vector<Duration> reported;
+    std::promise<void> fired;
+    thread.timers().reportLateness(50ms, [&](Duration lateness) { reported.push_back(lateness); });
+    thread.timers().subscribeAfter(1ms, [&] { fired.set_value(); });
+    boost::asio::post(thread.context(), [] { std::this_thread::sleep_for(200ms); });
+    thread.start();
+    fired.get_future().get();
+    thread.stop();
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0] >= 150ms);
+}
