--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -237,6 +237,12 @@
     return std::string();
 }
 
+void HostProcess::onTimerLate(Duration lateness)
+{
+    ports_.metrics.counter("kelptally_timers_late_total", "Timers that fired late").Increment();
+    ports_.log.warning("timer_late").with("late_ms", lateness);
+}
+
 void HostProcess::reload(const settings::HostSettings &settings)
 {
     settings_.gracePeriod = settings.gracePeriod;
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -92,6 +92,11 @@
     // Empty when the host is ready for callers, else the reason why not.
     std::string notReady() const;
 
+    // Reports a timer that fired at least minTimerLateness after it was due: the process stood
+    // still or lacked processor time.
+    void onTimerLate(Duration lateness);
+    static constexpr Duration minTimerLateness = std::chrono::milliseconds(250);
+
     // Applies the settings that may change at run time: grace and server-leave-time.
     void reload(const settings::HostSettings &settings);
 
