Relayed tables: rows that a relay left out are read before the state is too old

Callers: a confirmed configuration is in force late on single hosts (CONFIG). Not seen broken on this code; hosts without any disruption used up to 4.84 s of their 5 s when all relays stood still and then announced a change.

Cause: a host polls the store itself once its last confirmation is 0.65 to 0.9 of the poll's wait old. If a relay announced a change that it left out before that, the host waited another 0.5 to 1 s, whatever the age: pollDueAt() ignored the limit once rows were announced. So the read began up to 4.6 s after a change with a bound of 5 s, and took 0.3 to 0.6 s of a link of 10 Mbit/s. The draw of a host stays for the life of its process, so the same hosts are late each time.

Evidence: real processes, log of one host: announced 3.06 s after the last confirmation, read 0.92 s later at an age of 3.98 s (its limit: 3.47 s), in force 4.78 s after the change. tablerelay_test, "Omitted rows are read as soon as the known state is too old", failed before.

Fix: announced rows are read at the drawn time or at the limit, whichever comes first.

The relay model learned versions that change all of a row ("changes=all"), and reports the progress of answers on fast links, too, as the HTTP client does; without that large hosts never refused an answer and fell behind for good, in the model only.

--- a/src/bench/relaymodel.cpp
+++ b/src/bench/relaymodel.cpp
@@ -347,7 +347,7 @@
             return callback(absl::CancelledError("the rest of the answer was refused"));
         }
     }
-    const std::size_t next = isSmall ? std::min(pieceBytes, bytes - received) : bytes - received;
+    const std::size_t next = std::min(pieceBytes, bytes - received);
     timers.subscribeAt(arrivalOf(next), [this, id, answer, received = received + next, callback] {
         receive(id, answer, received, callback);
     });
@@ -589,9 +589,10 @@
     const std::size_t bytes =
         table == configuration ? std::size_t(configurationBytes) : std::size_t(250);
     std::string value = std::to_string(version) + " ";
-    // Entries of a list, of which a new version changes none.
+    const std::string prefix =
+        plan.changesAll ? "entry-" + std::to_string(version) + "-" : std::string("entry-");
     for (int entry = 0; value.size() < bytes; ++entry)
-        value += "entry-" + std::to_string(entry) + ",";
+        value += prefix + std::to_string(entry) + ",";
     tables.put(table, "row", value);
     if (table == configuration)
         newestConfiguration_ = version;
--- a/src/bench/relaymodel.h
+++ b/src/bench/relaymodel.h
@@ -47,6 +47,8 @@
     int configurationBytes = 12'000;
     // Size from the second version on; 0 for no change.
     int grownConfigurationBytes = 0;
+    // Whether a new version of the configuration changes all of it instead of a few bytes.
+    bool changesAll = false;
     // Hosts with capacity for groups and a fast link; 0 for all.
     int largeHosts = 0;
     // Bytes per second that the link of any other host receives; 0 for no limit.
--- a/src/bench/relayplan.cpp
+++ b/src/bench/relayplan.cpp
@@ -18,6 +18,7 @@
 constexpr NumberRange largeHostRange {0, 5000};
 constexpr NumberRange rateRange {0, 1 << 30};
 constexpr DurationRange boundRange {1s, 10min};
+constexpr DurationRange periodRange {100ms, 10min};
 constexpr DurationRange timeRange {0s, 10min};
 
 void readDeployment(SectionReader &reader, RelayPlan &plan)
@@ -29,11 +30,15 @@
     plan.configurationTime =
         reader.duration("configuration-time", boundRange, plan.configurationTime);
     plan.leaveTime = reader.duration("server-leave-time", boundRange, plan.leaveTime);
-    plan.changePeriod = reader.duration("change-period", boundRange, plan.changePeriod);
+    plan.changePeriod = reader.duration("change-period", periodRange, plan.changePeriod);
     plan.configurationBytes =
         reader.number("configuration-bytes", byteRange, plan.configurationBytes);
     plan.grownConfigurationBytes =
         reader.number("grown-configuration-bytes", byteRange, plan.grownConfigurationBytes);
+    const std::string changes = reader.text("changes", "few");
+    if (changes != "few" && changes != "all")
+        reader.add("changes", "allowed is few or all");
+    plan.changesAll = changes == "all";
     plan.largeHosts = reader.number("large-hosts", largeHostRange, plan.largeHosts);
     plan.linkRate = reader.number("link-rate", rateRange, plan.linkRate);
 }
--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -317,10 +317,11 @@
 
 Instant TableRelay::pollDueAt(const Table &table) const
 {
-    if (table.needsPoll)
-        return table.pollAt;
     const Instant confirmationLimit =
         table.confirmedAt + decision::maxConfirmationAge(table.wait, table.draw);
+    // An announced change may be as old as the last confirmation.
+    if (table.needsPoll)
+        return std::min(table.pollAt, confirmationLimit);
     if (!relays_.empty())
         return confirmationLimit;
     if (discoveryDone_)
--- a/tests/bench/largeconfiguration_test.cpp
+++ b/tests/bench/largeconfiguration_test.cpp
@@ -55,3 +55,17 @@
     CHECK(result.violations == std::vector<std::string>());
     CHECK(result.maxConfigurationDelay < 5s);
 }
+
+TEST_CASE("Hosts with slow links read rows that relays left out within the bound after a freeze")
+{
+    RelayPlan plan = largeConfigurationPlan();
+    plan.changesAll = true;
+    plan.changePeriod = 330ms;
+    for (int i = 0; i < 3; ++i)
+        plan.faults.push_back({RelayFaultKind::Freeze, 16s + i * 7s, 2700ms, true, 0});
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(seed);
+        const RelayResult result = simulateRelays(plan, seed);
+        CHECK(result.violations == std::vector<std::string>());
+    }
+}
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -182,6 +182,23 @@
     CHECK(rows == std::vector<std::string> {"a=1"});
 }
 
+TEST_CASE_METHOD(Fixture, "Omitted rows are read as soon as the known state is too old")
+{
+    const Duration maxAge = decision::maxConfirmationAge(wait, 0.5);
+    subscribe();
+    timers.advance(1s);
+    relay.onUpdate("first", update(100, 100, clock()));
+    // Both relays stand still and announce a change shortly before the state is too old.
+    timers.advance(maxAge - 100ms);
+    inner::TableUpdate large = update(100, 105, clock());
+    large.rowsOmitted = true;
+    relay.onUpdate("second", large);
+    CHECK(store.polls.empty());
+    timers.advance(100ms);
+    REQUIRE(store.polls.size() == 1);
+    CHECK(store.polls[0] == std::make_pair(std::uint64_t(100), Duration(0)));
+}
+
 TEST_CASE_METHOD(Fixture, "Silent relays are replaced")
 {
     setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
