Tests: promotion requests under random faults of owners and paths

The model drops requests that are under way when their process ends, as its connections are reset then.

No functional change

--- a/tests/host/modelcluster.h
+++ b/tests/host/modelcluster.h
@@ -93,7 +93,7 @@
     // Separates the host from the platform's promotion call only: requests wait for a connection.
     void blockPromotions(std::size_t host, bool blocked);
     // Sets the time that later promotion requests of the host are on their way. They arrive even if
-    // the host has given them up.
+    // the host has given them up, but not after its process has ended.
     void delayPromotions(std::size_t host, Duration delay);
     // Return the host's promotion requests that wait for a connection, and the number sent so far.
     int waitingPromotions(std::size_t host) const;
--- a/tests/host/promotionorder_test.cpp
+++ b/tests/host/promotionorder_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+#include <set>
+
 // Promotion requests must reach the platform in the order of their fencing tokens.
 using namespace kelptally;
 using namespace kelptally::model;
@@ -45,6 +48,117 @@
     CHECK(cluster.violations.all == std::vector<std::string>());
 }
 
+// A random schedule of lost primaries, ends and pauses of owners, and paths to the promotion call
+// that are blocked or slow.
+class RandomSchedule
+{
+public:
+    explicit RandomSchedule(std::uint64_t seed) : random_(seed), cluster_(seed) { }
+
+    void run()
+    {
+        waitUntilReady(cluster_);
+        for (int step = 0; step < steps; ++step) {
+            addFault();
+            const Instant end = cluster_.timers.now() + draw(Duration(3s));
+            while (cluster_.timers.now() < end) {
+                writeAtAnyHost();
+                cluster_.run(20ms);
+            }
+        }
+        recover();
+    }
+
+    ModelCluster &cluster() { return cluster_; }
+
+private:
+    static constexpr int steps = 25;
+    static constexpr Duration maxPathFault = 4s;
+    // Shorter than the time in which a sent request counts as under way.
+    static constexpr Duration maxDelay = 2900ms;
+
+    std::size_t anyHost() { return random_() % cluster_.hosts.size(); }
+    std::size_t ownerOrAny()
+    {
+        return cluster_.owner() < 0 ? anyHost() : std::size_t(cluster_.owner());
+    }
+    Duration draw(Duration most)
+    {
+        std::uniform_real_distribution<double> share(0, 1);
+        return std::chrono::duration_cast<Duration>(most * share(random_));
+    }
+    void later(Duration most, std::function<void()> action)
+    {
+        cluster_.timers.subscribeAfter(draw(most), std::move(action));
+    }
+
+    void writeAtAnyHost()
+    {
+        const std::size_t host = anyHost();
+        if (cluster_.isUp(host))
+            cluster_.write(host);
+    }
+
+    void addFault()
+    {
+        const std::size_t host = ownerOrAny();
+        switch (random_() % 6) {
+        case 0:
+        case 1:
+            crashPrimary();
+            break;
+        case 2:
+            cluster_.blockPromotions(host, true);
+            later(maxPathFault, [this, host] { cluster_.blockPromotions(host, false); });
+            break;
+        case 3:
+            cluster_.delayPromotions(host, draw(maxDelay));
+            later(maxPathFault, [this, host] { cluster_.delayPromotions(host, 1ms); });
+            break;
+        case 4:
+            cluster_.freeze(host, draw(pastLeaseExpiry));
+            break;
+        default:
+            stop(host);
+        }
+    }
+
+    void crashPrimary()
+    {
+        const ServerName primary = cluster_.group.primary();
+        if (primary.empty() || !cluster_.group.servers().at(primary).running)
+            return;
+        cluster_.group.crash(primary);
+        later(Duration(5s), [this, primary] { cluster_.group.restart(primary); });
+    }
+
+    // Begins a planned stop and starts the host again some time after it has ended or was killed.
+    void stop(std::size_t host)
+    {
+        if (!cluster_.isUp(host) || stopping_.count(host) != 0)
+            return;
+        stopping_.insert(host);
+        cluster_.drain(host);
+        later(Duration(6s), [this, host] {
+            cluster_.kill(host);
+            later(Duration(1s), [this, host] {
+                cluster_.restart(host);
+                stopping_.erase(host);
+            });
+        });
+    }
+
+    void recover()
+    {
+        cluster_.run(pastLeaseExpiry + pastLeaseExpiry);
+        CHECK(cluster_.timeToWrite(anyHost(), pastLeaseExpiry));
+    }
+
+    std::mt19937_64 random_;
+    ModelCluster cluster_;
+    std::set<std::size_t> stopping_;
+};
+
 } // namespace
 
 TEST_CASE("A former owner's promotion request that waits for a connection is not sent")
@@ -122,3 +236,18 @@
     cluster.group.healPartition(cluster.address(owner), candidate);
     checkServedWithoutViolation(cluster, owner);
 }
+
+TEST_CASE("Promotion requests arrive in the order of their tokens under random faults")
+{
+    constexpr std::uint64_t seeds = 20;
+    int promotions = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        RandomSchedule schedule(seed);
+        schedule.run();
+        schedule.cluster().checkStatementResults();
+        CHECK(schedule.cluster().violations.all == std::vector<std::string>());
+        promotions += schedule.cluster().group.promotions;
+    }
+    CHECK(promotions > int(seeds));
+}
