Relayed tables: a poll in flight is not repeated when its rows are announced

Callers: a configuration is late on hosts with slow links, as the same rows are read twice over one link. Brought in by: a host that was polling because its state was too old polled again at once when a relay announced the change.

Fix: while a poll is in flight, announced rows are read at the drawn time only, as before.

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -319,9 +319,9 @@
 {
     const Instant confirmationLimit =
         table.confirmedAt + decision::maxConfirmationAge(table.wait, table.draw);
-    // An announced change may be as old as the last confirmation.
+    // An announced change may be as old as the last confirmation. A poll in flight brings it, too.
     if (table.needsPoll)
-        return std::min(table.pollAt, confirmationLimit);
+        return table.pendingPoll != 0 ? table.pollAt : std::min(table.pollAt, confirmationLimit);
     if (!relays_.empty())
         return confirmationLimit;
     if (discoveryDone_)
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -199,6 +199,27 @@
     CHECK(store.polls[0] == std::make_pair(std::uint64_t(100), Duration(0)));
 }
 
+TEST_CASE_METHOD(Fixture, "A poll in flight is not repeated at once when a relay announces rows")
+{
+    setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
+    timers.advance(decision::maxConfirmationAge(wait, 0.5) + 100ms);
+    REQUIRE(store.polls.size() == 1);
+    // The silent relays have been replaced by the third.
+    std::string newRelay;
+    for (const auto &[address, count] : links.connected)
+        if (count > 0)
+            newRelay = address;
+    REQUIRE(!newRelay.empty());
+    inner::TableUpdate large = update(100, 105, clock());
+    large.rowsOmitted = true;
+    relay.onUpdate(newRelay, large);
+    timers.advance(500ms);
+    CHECK(store.polls.size() == 1);
+    // An answer that does not come in time is not awaited further.
+    timers.advance(1s);
+    CHECK(store.polls.size() == 2);
+}
+
 TEST_CASE_METHOD(Fixture, "Silent relays are replaced")
 {
     setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
