--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -243,6 +243,18 @@
     ports_.log.warning("timer_late").with("late_ms", lateness);
 }
 
+void HostProcess::onSilentStoreConnection(const services::SilentConnection &connection)
+{
+    ports_.metrics
+        .counter("kelptally_store_connections_silent_total",
+                 "Connections to the table service on which a read got no answer in time")
+        .Increment();
+    ports_.log.info("store_connection_silent")
+        .with("idle_ms", connection.idle)
+        .with("waited_ms", connection.waited)
+        .with("held_ms", connection.longPollTime);
+}
+
 void HostProcess::reload(const settings::HostSettings &settings)
 {
     settings_.gracePeriod = settings.gracePeriod;
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -7,6 +7,7 @@
 #include "host/configurationtimes.h"
 #include "host/tablerelay.h"
 #include "inner/peerlink.h"
+#include "services/httpclient.h"
 #include "services/storecircuitbreaker.h"
 #include "session/callersession.h"
 #include "session/router.h"
@@ -14,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -72,6 +74,11 @@
 
     // Changes of the table service's tables, from relays or by polling.
     services::TableFeed &feed() { return tableRelay_; }
+    // Time since this host last knew the table to be current; no value if it never did.
+    std::optional<Duration> confirmationAge(const std::string &table) const
+    {
+        return tableRelay_.confirmationAge(table);
+    }
 
     struct OpenedSession
     {
@@ -96,6 +103,8 @@
     // still or lacked processor time.
     void onTimerLate(Duration lateness);
     static constexpr Duration minTimerLateness = std::chrono::milliseconds(250);
+    // Reports a connection to the store that was found silent.
+    void onSilentStoreConnection(const services::SilentConnection &connection);
 
     // Applies the settings that may change at run time: grace and server-leave-time.
     void reload(const settings::HostSettings &settings);
--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -336,6 +336,14 @@
         + decision::relayDiscoveryDelay(shortest, discoveryDraw_, parts_.hasCapacity);
 }
 
+std::optional<Duration> TableRelay::confirmationAge(const std::string &table) const
+{
+    const auto known = tables_.find(table);
+    if (known == tables_.end() || known->second.confirmedAt == Instant())
+        return std::nullopt;
+    return parts_.timers.now() - known->second.confirmedAt;
+}
+
 void TableRelay::pollIfDue(Table &table)
 {
     parts_.timers.cancel(table.timer);
@@ -390,7 +398,8 @@
         parts_.log.line(isRoutine ? LogLevel::Debug : LogLevel::Info, "table_asked", why);
     line.with("table", table.name)
         .with("after", table.upTo)
-        .with("age_ms", parts_.timers.now() - table.confirmedAt);
+        .with("age_ms", parts_.timers.now() - table.confirmedAt)
+        .with("held_ms", wait);
     if (table.needsPoll)
         line.with("announced_ms", parts_.timers.now() - table.announcedAt);
     const std::uint64_t poll = ++lastPoll_;
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -74,6 +74,8 @@
     void onSubscribe(inner::LinkId link, const inner::SubscribeTables &request);
     void onUpdate(const std::string &from, const inner::TableUpdate &update);
 
+    // Time since the local follower's table was last confirmed; no value if it never was.
+    std::optional<Duration> confirmationAge(const std::string &table) const;
     // Whether this host polls the service on behalf of others.
     bool isRelay() const { return isChosenRelay_ || !subscribers_.empty(); }
 
--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -130,6 +130,10 @@
     void abortOpenCalls();
     void close();
     Duration timeout() const { return timeout_; }
+    void onSilentConnection(std::function<void(const SilentConnection &)> callback)
+    {
+        silenceCallback_ = std::move(callback);
+    }
 
 private:
     class Connection;
@@ -144,6 +148,7 @@
     void onProgress(const CallPtr &call, const AnswerProgress &progress, bool isSuccess);
     bool isArriving(const Call &call) const;
     void onSilenceTimeout(const CallPtr &call);
+    void reportSilence(const Call &call) const;
     void closeConnectionOf(const CallPtr &call);
     void release(const ConnectionPtr &connection);
     void remove(const ConnectionPtr &connection);
@@ -162,6 +167,7 @@
     std::vector<ConnectionPtr> idle_;
     std::vector<ConnectionPtr> busy_;
     TimerId overdueTimer_ = 0;
+    std::function<void(const SilentConnection &)> silenceCallback_;
 };
 
 // A connection, with one call at a time. It is closed after any failure.
@@ -498,10 +504,21 @@
 {
     if (call->done || call->retried)
         return;
+    reportSilence(*call);
     closeConnectionOf(call);
     retry(call);
 }
 
+void HttpClient::Pool::reportSilence(const Call &call) const
+{
+    if (!silenceCallback_)
+        return;
+    for (const ConnectionPtr &connection : busy_)
+        if (connection->call().get() == &call)
+            silenceCallback_({call.startedAt - connection->answeredAt(),
+                              timers_.now() - call.startedAt, call.request.longPollTime});
+}
+
 // Closes the call's connection.
 void HttpClient::Pool::closeConnectionOf(const CallPtr &call)
 {
@@ -623,6 +640,11 @@
     pool_->abortOpenCalls();
 }
 
+void HttpClient::onSilentConnection(std::function<void(const SilentConnection &)> callback)
+{
+    pool_->onSilentConnection(std::move(callback));
+}
+
 std::string percentEncoded(const std::string &text)
 {
     constexpr char digits[] = "0123456789ABCDEF";
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -69,6 +69,16 @@
 
 using HttpCallback = AnswerCallback<HttpResponse>;
 
+// A reused connection on which a read got no answer in time.
+struct SilentConnection
+{
+    // Between its last answer and the read.
+    Duration idle {0};
+    // Since the read was sent, and how much of that the server was allowed to hold it.
+    Duration waited {0};
+    Duration longPollTime {0};
+};
+
 // Client of one HTTP/1.1 server with a small pool of keep-alive connections. Used on the duty
 // thread only, which must outlive it. Callbacks are called there, each exactly once and never from
 // within send(). No request is sent after its timeout. Destroying the client drops open calls
@@ -98,6 +108,8 @@
     // those on which an answer is arriving. For a server whose open connections are silent while
     // new ones work.
     void abortOpenCalls();
+    // Sets a callback for each silent connection that is found.
+    void onSilentConnection(std::function<void(const SilentConnection &)> callback);
 
 private:
     class Pool;
