--- a/src/bench/relaymodel.cpp
+++ b/src/bench/relaymodel.cpp
@@ -25,8 +25,11 @@
 constexpr Duration settleTime = 14s;
 // An answer holds changes up to this size, and at least one.
 constexpr std::size_t maxChangesBytes = 1u << 20;
-// As the HTTP client: an answer of which nothing came for this long is not arriving.
-constexpr Duration arrivingTime = 500ms;
+// As the HTTP client: an answer of which nothing came for this long is not arriving, and a read
+// without an answer on a reused connection is sent again on a new one.
+constexpr Duration silenceTimeout = 500ms;
+// A silent link between hosts is replaced after about this time.
+constexpr Duration linkSilenceTimeout = 2s;
 // Answers arrive in pieces of this size.
 constexpr std::size_t pieceBytes = 16u << 10;
 constexpr char owners[] = "owners";
@@ -126,6 +129,15 @@
 
 class Model;
 
+// A connection to the store; it carries one call at a time.
+struct StoreConnection
+{
+    bool isSilent = false;
+    // Instant() before its first answer.
+    Instant answeredAt {};
+};
+using StoreConnectionPtr = std::shared_ptr<StoreConnection>;
+
 // One host: the real followers, TableRelay and StoreCircuitBreaker on its own timers.
 struct Host : public services::TableService,
               public services::TableFeed,
@@ -140,9 +152,21 @@
     // TableService and TableFeed; only changes() and snapshot() are implemented.
     template <typename Result>
     void call(std::function<Result()> work, services::AnswerCallback<Result> callback);
+    // Opens a call and returns its id.
+    std::uint64_t openCall(std::function<void()> abort);
+    // Sends a call on an idle connection or a new one, and again on a new one if the first is
+    // silent. The store may hold the answer for longPollTime.
+    using Transmit = std::function<void(const StoreConnectionPtr &)>;
+    void transmit(std::uint64_t id, Duration longPollTime, const Transmit &request);
+    void repeatIfSilent(std::uint64_t id, const StoreConnectionPtr &connection,
+                        const Transmit &request);
+    StoreConnectionPtr newConnection();
+    // Whether the answer to the open call can still arrive on this connection.
+    bool isReachable(std::uint64_t id, const StoreConnectionPtr &connection) const;
     // Passes the answer to an open call once all of it has come over the link.
     template <typename Result>
-    void receive(std::uint64_t id, std::shared_ptr<const Result> answer, std::size_t received,
+    void receive(std::uint64_t id, const StoreConnectionPtr &connection,
+                 std::shared_ptr<const Result> answer, std::size_t received,
                  services::AnswerCallback<Result> callback);
     // Ends the calls whose answers are not arriving.
     void abortOpenCalls();
@@ -164,6 +188,9 @@
     void snapshot(const std::string &table, services::SnapshotCallback callback) override;
     void changes(const std::string &table, std::uint64_t after, Duration wait,
                  services::ChangesCallback callback) override;
+    void sendChanges(std::uint64_t id, const StoreConnectionPtr &connection,
+                     const std::string &table, std::uint64_t after, Duration wait,
+                     const services::ChangesCallback &callback);
 
     // TableRelay::Links
     void connect(const std::string &to) override;
@@ -205,11 +232,15 @@
     struct OpenCall
     {
         std::function<void()> abort;
+        StoreConnectionPtr connection;
         // When a part of the answer last arrived.
         Instant receivedAt {};
     };
     // Calls to the store in flight.
     std::map<std::uint64_t, OpenCall> openCalls;
+    std::vector<StoreConnectionPtr> idleConnections;
+    // All open connections.
+    std::vector<std::weak_ptr<StoreConnection>> storeConnections;
     std::uint64_t lastCall = 0;
     Instant lastCallAt {};
 };
@@ -243,10 +274,15 @@
     std::vector<std::unique_ptr<Host>> hosts;
     std::map<std::string, Host *> byAddress;
     inner::LinkId lastLink = 0;
+    // Links on which nothing arrives any more.
+    std::set<inner::LinkId> silentLinks;
 
 private:
     void injectFault(const RelayFault &fault);
     void applyFault(Host &host, const RelayFault &fault);
+    void silenceStore(bool affectsAll);
+    void silenceLinks();
+    void endLink(Host &host, inner::LinkId link);
     void writeVersion(const std::string &table, int version);
     void measurePropagation(const std::string &table, int version, Instant changed);
     void checkReturned(const Host &host);
@@ -312,31 +348,91 @@
     known = version;
 }
 
-template <typename Result>
-void Host::call(std::function<Result()> work, services::AnswerCallback<Result> callback)
+std::uint64_t Host::openCall(std::function<void()> abort)
 {
     const std::uint64_t id = ++lastCall;
     lastCallAt = model.timers.now();
-    openCalls[id].abort = [callback] { callback(absl::DeadlineExceededError("no answer")); };
+    openCalls[id].abort = std::move(abort);
+    return id;
+}
+
+StoreConnectionPtr Host::newConnection()
+{
+    const auto connection = std::make_shared<StoreConnection>();
+    storeConnections.erase(
+        std::remove_if(storeConnections.begin(), storeConnections.end(),
+                       [](const std::weak_ptr<StoreConnection> &each) { return each.expired(); }),
+        storeConnections.end());
+    storeConnections.push_back(connection);
+    return connection;
+}
+
+bool Host::isReachable(std::uint64_t id, const StoreConnectionPtr &connection) const
+{
+    const auto call = openCalls.find(id);
+    return !cutFromStore && !connection->isSilent && call != openCalls.end()
+        && call->second.connection == connection;
+}
+
+void Host::transmit(std::uint64_t id, Duration longPollTime, const Transmit &request)
+{
+    const bool isReused = !idleConnections.empty();
+    const StoreConnectionPtr connection = isReused ? idleConnections.back() : newConnection();
+    if (isReused)
+        idleConnections.pop_back();
+    openCalls[id].connection = connection;
     if (!cutFromStore)
         model.countCall();
-    model.timers.subscribeAfter(storeDelay / 2, [this, alive = timers.alive, id, work, callback] {
-        if (!*alive || cutFromStore)
-            return;
-        const auto answer = std::make_shared<const Result>(work());
-        timers.subscribeAfter(storeDelay / 2,
-                              [this, id, answer, callback] { receive(id, answer, 0, callback); });
+    request(connection);
+    if (isReused)
+        timers.subscribeAfter(longPollTime + silenceTimeout, [this, id, connection, request] {
+            repeatIfSilent(id, connection, request);
+        });
+}
+
+void Host::repeatIfSilent(std::uint64_t id, const StoreConnectionPtr &connection,
+                          const Transmit &request)
+{
+    const auto call = openCalls.find(id);
+    if (call == openCalls.end() || call->second.connection != connection
+        || call->second.receivedAt != Instant())
+        return;
+    idleConnections.clear();
+    call->second.connection = newConnection();
+    if (!cutFromStore)
+        model.countCall();
+    request(call->second.connection);
+}
+
+template <typename Result>
+void Host::call(std::function<Result()> work, services::AnswerCallback<Result> callback)
+{
+    const std::uint64_t id =
+        openCall([callback] { callback(absl::DeadlineExceededError("no answer")); });
+    transmit(id, Duration(0), [this, id, work, callback](const StoreConnectionPtr &connection) {
+        model.timers.subscribeAfter(
+            storeDelay / 2, [this, alive = timers.alive, id, connection, work, callback] {
+                if (!*alive || !isReachable(id, connection))
+                    return;
+                const auto answer = std::make_shared<const Result>(work());
+                timers.subscribeAfter(storeDelay / 2, [this, id, connection, answer, callback] {
+                    receive(id, connection, answer, 0, callback);
+                });
+            });
     });
 }
 
 template <typename Result>
-void Host::receive(std::uint64_t id, std::shared_ptr<const Result> answer, std::size_t received,
+void Host::receive(std::uint64_t id, const StoreConnectionPtr &connection,
+                   std::shared_ptr<const Result> answer, std::size_t received,
                    services::AnswerCallback<Result> callback)
 {
-    if (cutFromStore || openCalls.count(id) == 0)
+    if (!isReachable(id, connection))
         return;
     const std::size_t bytes = answerBytes(*answer);
     if (received >= bytes) {
+        connection->answeredAt = timers.now();
+        idleConnections.push_back(connection);
         openCalls.erase(id);
         return callback(*answer);
     }
@@ -348,22 +444,24 @@
         }
     }
     const std::size_t next = std::min(pieceBytes, bytes - received);
-    timers.subscribeAt(arrivalOf(next), [this, id, answer, received = received + next, callback] {
-        receive(id, answer, received, callback);
-    });
+    timers.subscribeAt(arrivalOf(next),
+                       [this, id, connection, answer, received = received + next, callback] {
+                           receive(id, connection, answer, received, callback);
+                       });
 }
 
 void Host::abortOpenCalls()
 {
     std::vector<std::function<void()>> aborted;
     for (auto call = openCalls.begin(); call != openCalls.end();) {
-        if (timers.now() - call->second.receivedAt < arrivingTime) {
+        if (timers.now() - call->second.receivedAt < silenceTimeout) {
             ++call;
             continue;
         }
         aborted.push_back(std::move(call->second.abort));
         call = openCalls.erase(call);
     }
+    idleConnections.clear();
     for (const auto &abort : aborted)
         abort();
 }
@@ -388,22 +486,29 @@
 void Host::changes(const std::string &table, std::uint64_t after, Duration wait,
                    services::ChangesCallback callback)
 {
-    const std::uint64_t id = ++lastCall;
-    lastCallAt = model.timers.now();
-    openCalls[id].abort = [callback] { callback(absl::DeadlineExceededError("no answer")); };
-    if (!cutFromStore)
-        model.countCall();
-    const auto answer = [this, alive = timers.alive, id, table, after, callback] {
-        if (!*alive || cutFromStore)
+    const std::uint64_t id =
+        openCall([callback] { callback(absl::DeadlineExceededError("no answer")); });
+    transmit(id, wait, [=](const StoreConnectionPtr &connection) {
+        sendChanges(id, connection, table, after, wait, callback);
+    });
+}
+
+void Host::sendChanges(std::uint64_t id, const StoreConnectionPtr &connection,
+                       const std::string &table, std::uint64_t after, Duration wait,
+                       const services::ChangesCallback &callback)
+{
+    const auto answer = [this, alive = timers.alive, id, connection, table, after, callback] {
+        if (!*alive || !isReachable(id, connection))
             return;
         const auto changes =
             std::make_shared<const services::TableChanges>(model.tables.changes(table, after));
-        timers.subscribeAfter(storeDelay / 2,
-                              [this, id, changes, callback] { receive(id, changes, 0, callback); });
+        timers.subscribeAfter(storeDelay / 2, [this, id, connection, changes, callback] {
+            receive(id, connection, changes, 0, callback);
+        });
     };
     model.timers.subscribeAfter(
-        storeDelay / 2, [this, alive = timers.alive, table, after, wait, answer] {
-            if (!*alive || cutFromStore)
+        storeDelay / 2, [this, alive = timers.alive, id, connection, table, after, wait, answer] {
+            if (!*alive || !isReachable(id, connection))
                 return;
             if (model.tables.hasChanges(table, after) || wait <= Duration(0))
                 return answer();
@@ -467,8 +572,8 @@
         headers + (bytes.ok() ? bytes->size() : 0);
     const Instant at = std::max({timers.now(), cutOffUntil, other->cutOffUntil}) + linkDelay;
     const std::size_t size = bytes.ok() ? bytes->size() : 0;
-    model.timers.subscribeAt(at, [other, alive = other->timers.alive, link, message, size] {
-        if (!*alive || !other->up)
+    model.timers.subscribeAt(at, [this, other, alive = other->timers.alive, link, message, size] {
+        if (!*alive || !other->up || model.silentLinks.count(link) != 0)
             return;
         other->timers.subscribeAt(other->arrivalOf(size),
                                   [other, link, message] { other->onMessage(link, message); });
@@ -515,14 +620,8 @@
         *host.timers.alive = false;
         for (const auto &[link, to] : host.peersByLink) {
             Host *other = find(to);
-            other->timers.subscribeAfter(linkDelay, [other, link = link, from = host.address] {
-                other->peersByLink.erase(link);
-                other->tableRelay->onLinkDown(link);
-                if (other->links.count(from) != 0 && other->links[from] == link) {
-                    other->links.erase(from);
-                    other->dial(from);
-                }
-            });
+            other->timers.subscribeAfter(linkDelay,
+                                         [this, other, link = link] { endLink(*other, link); });
         }
         break;
     case RelayFaultKind::Freeze:
@@ -540,24 +639,83 @@
             checkReturned(host);
         });
         break;
+    case RelayFaultKind::SilentStore:
+    case RelayFaultKind::SilentLinks:
+        break;
     }
 }
 
-// Checks that a host that was cut off knows the configuration within its bound.
+// The host finds that the link is down, and opens it again if it needs it.
+void Model::endLink(Host &host, inner::LinkId link)
+{
+    const auto peer = host.peersByLink.find(link);
+    if (peer == host.peersByLink.end())
+        return;
+    const std::string address = peer->second;
+    host.peersByLink.erase(peer);
+    host.tableRelay->onLinkDown(link);
+    const auto dialled = host.links.find(address);
+    if (dialled == host.links.end() || dialled->second != link)
+        return;
+    host.links.erase(dialled);
+    host.dial(address);
+}
+
+// Open connections to the store go silent, those of all hosts or of half of them.
+void Model::silenceStore(bool affectsAll)
+{
+    for (const auto &host : hosts) {
+        if (!host->up || (!affectsAll && random() % 2 == 0))
+            continue;
+        for (const auto &weak : host->storeConnections)
+            if (const auto connection = weak.lock())
+                connection->isSilent = true;
+    }
+}
+
+void Model::silenceLinks()
+{
+    for (const auto &host : hosts) {
+        if (!host->up)
+            continue;
+        for (const auto &[link, address] : host->peersByLink) {
+            silentLinks.insert(link);
+            host->timers.subscribeAfter(linkSilenceTimeout, [this, host = host.get(), link = link] {
+                endLink(*host, link);
+            });
+        }
+    }
+}
+
+// Checks that a host whose fault ends now knows the configuration within its bound, unless it has
+// another fault meanwhile.
 void Model::checkReturned(const Host &host)
 {
-    timers.subscribeAfter(plan.configurationTime, [this, &host, version = newestConfiguration_] {
-        const auto known = host.configurations.find("row");
-        if (known == host.configurations.end() || known->second < version)
-            result.violations.push_back(host.address + " does not know version "
-                                        + std::to_string(version)
-                                        + " within its bound after it was cut off");
-    });
+    const Instant returned = timers.now();
+    timers.subscribeAfter(
+        plan.configurationTime, [this, &host, returned, version = newestConfiguration_] {
+            const auto known = host.configurations.find("row");
+            const bool isKnown = known != host.configurations.end() && known->second >= version;
+            if (!isKnown && host.up && host.faultedUntil <= returned)
+                result.violations.push_back(host.address + " does not know version "
+                                            + std::to_string(version)
+                                            + " within its bound after its last fault");
+        });
 }
 
 // Applies the fault to some hosts, to one relay or to all relays.
 void Model::injectFault(const RelayFault &fault)
 {
+    const bool isSilence =
+        fault.kind == RelayFaultKind::SilentStore || fault.kind == RelayFaultKind::SilentLinks;
+    if (isSilence) {
+        for (const auto &host : hosts) {
+            host->faultedUntil = std::max(host->faultedUntil, timers.now());
+            checkReturned(*host);
+        }
+        return fault.kind == RelayFaultKind::SilentStore ? silenceStore(fault.affectsAll)
+                                                         : silenceLinks();
+    }
     if (fault.kind == RelayFaultKind::CutOff) {
         std::vector<Host *> chosen;
         for (const auto &host : hosts)
--- a/src/bench/relaymodel.h
+++ b/src/bench/relaymodel.h
@@ -16,6 +16,11 @@
     CutFromStore,
     // Hosts, relays or not, that reach neither the store nor other hosts.
     CutOff,
+    // Open connections to the store carry nothing any more, while new ones work: those of all hosts
+    // or of half of them. Counts as a fault of all hosts.
+    SilentStore,
+    // The same for all links between hosts.
+    SilentLinks,
 };
 
 struct RelayFault
@@ -23,7 +28,7 @@
     RelayFaultKind kind = RelayFaultKind::Kill;
     Duration at {0};
     Duration length {0};
-    // Affects all relays at once instead of one.
+    // Affects all relays at once instead of one; for silent connections, all hosts instead of half.
     bool affectsAll = false;
     // Number of hosts that are cut off.
     int cutHosts = 1;
--- a/src/bench/relayplan.cpp
+++ b/src/bench/relayplan.cpp
@@ -53,8 +53,14 @@
         fault.kind = RelayFaultKind::CutFromStore;
     else if (kind == "cut-off")
         fault.kind = RelayFaultKind::CutOff;
+    else if (kind == "silent-store")
+        fault.kind = RelayFaultKind::SilentStore;
+    else if (kind == "silent-links")
+        fault.kind = RelayFaultKind::SilentLinks;
     else if (kind != "kill")
-        reader.add("fault", "allowed is kill, freeze, cut-from-store or cut-off");
+        reader.add(
+            "fault",
+            "allowed is kill, freeze, cut-from-store, cut-off, silent-store or silent-links");
     fault.cutHosts = reader.number("hosts", hostRange, fault.cutHosts);
     fault.at = reader.duration("at", timeRange, fault.at);
     fault.length = reader.duration("length", timeRange, fault.length);
--- a/tests/platform/fakeplatform.cpp
+++ b/tests/platform/fakeplatform.cpp
@@ -12,6 +12,8 @@
 
 using Tcp = boost::asio::ip::tcp;
 constexpr Duration feedPollPeriod = std::chrono::milliseconds(20);
+// An answer holds changes up to this size, and at least one version.
+constexpr std::size_t maxChangesBytes = 1u << 20;
 
 std::string parameter(const std::string &query, const std::string &name)
 {
@@ -22,6 +24,22 @@
     return query.substr(begin, query.find('&', begin) - begin);
 }
 
+void addRow(JsonWriter &json, const std::string &table, const std::string &key,
+            const std::string &value, std::uint64_t version)
+{
+    json.beginObject().member("table", table).member("part", "").member("key", key);
+    json.member("value", absl::Base64Escape(value)).member("ver", version).endObject();
+}
+
+// Ends the rows and adds the store's version and clock.
+std::string finish(JsonWriter &json, std::uint64_t version)
+{
+    const auto now = BootClock::now().time_since_epoch() / std::chrono::milliseconds(1);
+    json.endArray().member("truncated", false).member("ver", version);
+    json.member("nowMs", std::int64_t(now)).endObject();
+    return json.take();
+}
+
 } // namespace
 
 FakeStore::FakeStore(DutyThread &thread)
@@ -34,7 +52,14 @@
 void FakeStore::put(const std::string &table, const std::string &key, const std::string &value)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    tables_[table][key] = {value, ++version_};
+    ++version_;
+    write(table, key, value);
+}
+
+void FakeStore::write(const std::string &table, const std::string &key, const std::string &value)
+{
+    tables_[table][key] = {key, value, version_};
+    changes_[table].push_back({key, value, version_});
 }
 
 std::string FakeStore::value(const std::string &table, const std::string &key)
@@ -43,31 +68,51 @@
     return tables_[table][key].value;
 }
 
-std::string FakeStore::rowsAfter(const std::string &table, std::uint64_t after,
-                                 const std::string &from)
+std::string FakeStore::rowsFrom(const std::string &table, const std::string &from)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    JsonWriter json;
+    json.beginObject().key("rows").beginArray();
+    for (const auto &[key, row] : tables_[table])
+        if (key >= from && row.version != 0)
+            addRow(json, table, key, row.value, row.version);
+    return finish(json, version_);
+}
+
+std::optional<std::string> FakeStore::changesAfter(const std::string &table, std::uint64_t after)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     JsonWriter json;
     json.beginObject().key("rows").beginArray();
-    bool any = false;
-    for (const auto &[key, row] : tables_[table]) {
-        if (row.version <= after || key < from)
+    std::size_t bytes = 0;
+    std::uint64_t last = 0;
+    for (const Row &row : changes_[table]) {
+        if (row.version <= after)
             continue;
-        any = true;
-        json.beginObject().member("table", table).member("part", "").member("key", key);
-        json.member("value", absl::Base64Escape(row.value)).member("ver", row.version).endObject();
+        if (bytes >= maxChangesBytes && row.version != last)
+            return finish(json, last);
+        addRow(json, table, row.key, row.value, row.version);
+        bytes += row.value.size();
+        last = row.version;
     }
-    json.endArray().member("truncated", false).member("ver", version_);
-    json.member("nowMs", std::int64_t(1000)).endObject();
-    return any || after == 0 ? json.take() : std::string();
+    if (last == 0)
+        return std::nullopt;
+    return finish(json, version_);
+}
+
+std::string FakeStore::emptyChanges()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    JsonWriter json;
+    json.beginObject().key("rows").beginArray();
+    return finish(json, version_);
 }
 
 void FakeStore::onRequest(caller::HttpRequest request, caller::HttpReplyPtr reply)
 {
-    const std::string table = parameter(request.query, "table");
     if (request.path == "/kelptally/rows-get")
-        return reply->send(
-            caller::jsonResponse(rowsAfter(table, 0, parameter(request.query, "from"))));
+        return reply->send(caller::jsonResponse(
+            rowsFrom(parameter(request.query, "table"), parameter(request.query, "from"))));
     if (request.path == "/kelptally/rows-tx")
         return transact(request.body, reply);
     if (request.path != "/kelptally/rows-feed") {
@@ -75,12 +120,20 @@
         missing.status = 404;
         return reply->send(std::move(missing));
     }
+    const std::chrono::milliseconds wait(std::atoi(parameter(request.query, "waitMs").c_str()));
+    answerFeed(request, reply, thread_.timers().now() + wait);
+}
+
+void FakeStore::answerFeed(const caller::HttpRequest &request, const caller::HttpReplyPtr &reply,
+                           Instant until)
+{
     const auto after = std::strtoull(parameter(request.query, "after").c_str(), nullptr, 10);
-    const std::string changes = rowsAfter(table, std::max<std::uint64_t>(after, 1), "");
-    if (!changes.empty())
-        return reply->send(caller::jsonResponse(changes));
-    thread_.timers().subscribeAfter(feedPollPeriod,
-                                    [this, request, reply] { onRequest(request, reply); });
+    if (auto changes = changesAfter(parameter(request.query, "table"), after))
+        return reply->send(caller::jsonResponse(*std::move(changes)));
+    if (thread_.timers().now() >= until)
+        return reply->send(caller::jsonResponse(emptyChanges()));
+    thread_.timers().subscribeAfter(
+        feedPollPeriod, [this, request, reply, until] { answerFeed(request, reply, until); });
 }
 
 void FakeStore::transact(const std::string &body, const caller::HttpReplyPtr &reply)
@@ -96,9 +149,9 @@
     if (response.status == 200) {
         ++version_;
         for (const JsonValue &put : json->find("puts")->items) {
-            Row &row = tables_[put.textOf("table")][put.textOf("key")];
-            absl::Base64Unescape(put.textOf("value"), &row.value);
-            row.version = version_;
+            std::string value;
+            absl::Base64Unescape(put.textOf("value"), &value);
+            write(put.textOf("table"), put.textOf("key"), value);
         }
     }
     response.body = "{\"ver\":" + std::to_string(version_) + ",\"nowMs\":1000}";
--- a/tests/platform/fakeplatform.h
+++ b/tests/platform/fakeplatform.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,8 @@
 // implement the parts of the protocol that the tests need.
 namespace kelptally::platform {
 
-// A store that keeps its rows in memory. A feed request is answered once there are changes.
+// A store that keeps its rows and all changes in memory. A feed request is answered once there are
+// changes, or after its wait.
 class FakeStore : public caller::HttpHandler
 {
 public:
@@ -31,17 +33,26 @@
 private:
     struct Row
     {
+        std::string key;
         std::string value;
         std::uint64_t version = 0;
     };
 
-    std::string rowsAfter(const std::string &table, std::uint64_t after, const std::string &from);
+    void write(const std::string &table, const std::string &key, const std::string &value);
+    std::string rowsFrom(const std::string &table, const std::string &from);
+    // Returns nothing when there are no changes.
+    std::optional<std::string> changesAfter(const std::string &table, std::uint64_t after);
+    std::string emptyChanges();
+    void answerFeed(const caller::HttpRequest &request, const caller::HttpReplyPtr &reply,
+                    Instant until);
     void transact(const std::string &body, const caller::HttpReplyPtr &reply);
 
     DutyThread &thread_;
     caller::HttpServer server_;
     std::mutex mutex_;
     std::map<std::string, std::map<std::string, Row>> tables_;
+    // All versions of each row, in order.
+    std::map<std::string, std::vector<Row>> changes_;
     std::uint64_t version_ = 0;
 };
 
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -1,12 +1,8 @@
 #include "admin/ctlcommands.h"
+#include "caller.h"
 #include "core/digest.h"
 #include "fakeplatform.h"
-#include "freeport.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -25,54 +21,6 @@
 
 namespace {
 
-using Tcp = boost::asio::ip::tcp;
-
-// A caller's connection.
-class Caller
-{
-public:
-    explicit Caller(int port) : socket_(context_)
-    {
-        socket_.connect(Tcp::endpoint(boost::asio::ip::make_address(loopbackAddress()),
-                                      static_cast<std::uint16_t>(port)));
-    }
-
-    void send(const std::string &text) { boost::asio::write(socket_, boost::asio::buffer(text)); }
-
-    // Returns the next line, or "closed" at the end of the stream.
-    std::string line()
-    {
-        boost::system::error_code error;
-        boost::asio::read_until(socket_, buffer_, '\n', error);
-        if (error)
-            return "closed";
-        std::istream stream(&buffer_);
-        std::string text;
-        std::getline(stream, text);
-        if (!text.empty() && text.back() == '\r')
-            text.pop_back();
-        return text;
-    }
-
-    // Sends a line and returns the answer up to READY, its lines joined by '|'.
-    std::string query(const std::string &text)
-    {
-        send(text + "\r\n");
-        std::string answer;
-        for (;;) {
-            const std::string next = line();
-            answer += (answer.empty() ? "" : "|") + next;
-            if (next.rfind("READY", 0) == 0 || next == "closed")
-                return answer;
-        }
-    }
-
-private:
-    boost::asio::io_context context_;
-    Tcp::socket socket_;
-    boost::asio::streambuf buffer_;
-};
-
 // Returns the path of a settings file in the build tree.
 std::string settingsFile(const std::string &name)
 {
--- /dev/null
+++ b/tests/platform/testhost.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "caller.h"
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+
+namespace kelptally::platform {
+
+// Settings of a kelptallyd process under test.
+struct TestHostOptions
+{
+    std::string name;
+    std::string zone;
+    std::string processors;
+    int storePort = 0;
+    // The process writes its log there.
+    std::string folder;
+};
+
+// A kelptallyd process under test with its settings file, killed with this object. Callable from
+// any thread.
+class TestHost
+{
+public:
+    explicit TestHost(const TestHostOptions &options);
+    ~TestHost();
+    TestHost(const TestHost &) = delete;
+    TestHost &operator=(const TestHost &) = delete;
+
+    void start();
+    void signal(int number);
+    void kill();
+    bool isRunning();
+    bool isReady() const;
+    // Whether it owns a group, as its metrics page says.
+    bool ownsGroup() const;
+    const std::string &name() const { return options_.name; }
+
+    enum class Session {
+        Open,
+        // The host knows no such database.
+        Refused,
+        // No connection, no answer or another error.
+        Failed,
+    };
+    // Begins a session for the database and ends it.
+    Session openSession(const std::string &database) const;
+
+private:
+    const TestHostOptions options_;
+    const std::string file_;
+    const int callerPort_ = takeFreePort();
+    const int readinessPort_ = takeFreePort();
+    const int adminPort_ = takeFreePort();
+    const int peerPort_ = takeFreePort();
+    std::mutex mutex_;
+    pid_t process_ = 0;
+};
+
+} // namespace kelptally::platform
