Relayed tables: a state that is too old is read without a long poll

Cause: a host whose relays confirm nothing polls the store itself once its state is 2.6 to 3.6 s old (bound of 5 s). That poll was a long poll: without changes the store may hold it for another 4 s, so the client can't tell a held answer from a lost one and noticed a silent connection 4.5 s after the poll, at an age of up to 8 s. Hosts that know no relay followed the tables with the same wait and noticed it as late. A lost answer costs the whole time for which it may be held.

Fix: a state that is too old is read at once, without a wait; no host lets the store hold a poll for longer than a relay does (0.4 of the wait). A poll whose answer has begun to arrive isn't repeated when a relay announces rows.

--- a/src/decision/relaychoice.h
+++ b/src/decision/relaychoice.h
@@ -62,8 +62,9 @@
 std::vector<std::string> chooseRelays(const std::vector<RelayCandidate> &candidates,
                                       const std::string &zone, std::size_t count);
 
-// How long a relay's poll may stay open, where a host without relays would use `wait`. Shorter, as
-// each answer confirms to all subscribers that they are current.
+// How long the service may hold a poll of a host that has to know a change within `wait`. Each
+// answer confirms to a relay's subscribers that they are current, and a lost answer is noticed only
+// after this time.
 Duration relayPollWait(Duration wait);
 
 // Age of its last confirmation at which a subscriber polls the service itself. Leaves time for a
--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -350,15 +350,15 @@
     if (!table.hasRequest)
         return;
     const Instant now = parts_.timers.now();
-    // 1. A relay always has a short poll open.
+    // 1. A relay always has a long poll open.
     if (isRelay()) {
-        const Duration wait = decision::relayPollWait(table.wait);
-        if (table.pendingPoll == 0 || table.pendingPollWait > wait)
-            startPoll(table, wait, "teller");
+        if (table.pendingPoll == 0)
+            startPoll(table, decision::relayPollWait(table.wait), "teller");
         return;
     }
-    // 2. Any other host polls when rows are missing or its state is too old.
-    if (table.pendingPoll != 0 && !(table.needsPoll && table.pendingPollWait > Duration(0)))
+    // 2. Any other host polls when rows are missing or its state is too old. A poll in flight is
+    // repeated only if rows were announced since and nothing of its answer has arrived.
+    if (table.pendingPoll != 0 && (!table.needsPoll || table.isAnswerArriving))
         return;
     const Instant due = pollDueAt(table);
     if (now < due) {
@@ -372,12 +372,13 @@
         return startPoll(table, Duration(0), "left_out");
     if (relays_.empty()) {
         if (discoveryDone_ || table.name != parts_.candidateTable)
-            return startPoll(table, table.wait, "no_teller");
+            return startPoll(table, decision::relayPollWait(table.wait), "no_teller");
         ++discoveryPolls_;
         lastDiscoveryAt_ = now;
         return startPoll(table, Duration(0), "first");
     }
-    startPoll(table, table.wait, "old");
+    // A long poll would leave no time to notice that its answer is lost.
+    startPoll(table, Duration(0), "old");
     replaceSilentRelays(decision::maxConfirmationAge(table.wait, 0));
 }
 
@@ -404,7 +405,7 @@
         line.with("announced_ms", parts_.timers.now() - table.announcedAt);
     const std::uint64_t poll = ++lastPoll_;
     table.pendingPoll = poll;
-    table.pendingPollWait = wait;
+    table.isAnswerArriving = false;
     table.polledAt = parts_.timers.now();
     table.needsPoll = false;
     auto onAnswer = [this, alive = alive_, name = table.name,
@@ -412,14 +413,21 @@
         if (*alive)
             onPollAnswer(tables_[name], poll, answer);
     };
-    auto onProgress = [this, alive = alive_,
-                       name = table.name](const services::AnswerProgress &progress) {
-        return !*alive || acceptsAnswer(tables_[name], progress);
+    auto onProgress = [this, alive = alive_, name = table.name,
+                       poll](const services::AnswerProgress &progress) {
+        return !*alive || onPollProgress(tables_[name], poll, progress);
     };
     parts_.store.changes(table.name, table.upTo, wait,
                          {std::move(onAnswer), std::move(onProgress)});
 }
 
+bool TableRelay::onPollProgress(Table &table, std::uint64_t poll,
+                                const services::AnswerProgress &progress)
+{
+    table.isAnswerArriving = table.isAnswerArriving || table.pendingPoll == poll;
+    return acceptsAnswer(table, progress);
+}
+
 // Refuses changes that are larger than the table. After an outage each version of a large row is
 // among them, and on a slow link more versions may be written than arrive.
 bool TableRelay::acceptsAnswer(const Table &table, const services::AnswerProgress &progress)
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -119,9 +119,9 @@
         std::uint64_t after = 0;
         Duration wait {0};
         services::ChangesCallback callback;
-        // Newest poll of the service in flight, 0 if none, and how long it may stay open.
+        // Newest poll of the service in flight, 0 if none, and whether its answer has begun.
         std::uint64_t pendingPoll = 0;
-        Duration pendingPollWait {0};
+        bool isAnswerArriving = false;
         Instant polledAt {};
         // Set when changes up to neededVersion must be read from the service at pollAt.
         bool needsPoll = false;
@@ -179,6 +179,8 @@
     void pollDueTables();
     Instant pollDueAt(const Table &table) const;
     void startPoll(Table &table, Duration wait, const char *why);
+    static bool onPollProgress(Table &table, std::uint64_t poll,
+                               const services::AnswerProgress &progress);
     static bool acceptsAnswer(const Table &table, const services::AnswerProgress &progress);
     static void failRequest(Table &table, const absl::Status &status);
     void onPollAnswer(Table &table, std::uint64_t poll,
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -220,6 +220,48 @@
     CHECK(store.polls.size() == 2);
 }
 
+// The service would hold a long poll without changes, and its lost answer would be noticed only
+// after the bound.
+TEST_CASE_METHOD(Fixture, "A state that is too old is read without a long poll")
+{
+    subscribe();
+    timers.advance(decision::maxConfirmationAge(wait, 0.5) + 10ms);
+    REQUIRE(store.polls.size() == 1);
+    CHECK(store.polls[0] == std::make_pair(std::uint64_t(100), Duration(0)));
+    // The answer confirms the state for as long as an update of a relay does.
+    services::TableChanges unchanged;
+    unchanged.next = 100;
+    unchanged.serviceTime = clock();
+    store.answer(unchanged);
+    timers.advance(decision::maxConfirmationAge(wait, 0.5) - 20ms);
+    CHECK(store.polls.size() == 1);
+    timers.advance(30ms);
+    CHECK(store.polls.size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "A host without relays notices a lost answer as early as a relay")
+{
+    timers.advance(30s);
+    REQUIRE(!store.polls.empty());
+    for (const auto &[after, longPollTime] : store.polls)
+        CHECK(longPollTime <= decision::relayPollWait(wait));
+}
+
+TEST_CASE_METHOD(Fixture, "An answer that arrives is awaited although a relay announces rows")
+{
+    setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
+    timers.advance(decision::maxConfirmationAge(wait, 0.5) + 100ms);
+    REQUIRE(store.polls.size() == 1);
+    CHECK(store.answer.reportProgress({1000, 400'000}));
+    inner::TableUpdate large = update(100, 105, clock());
+    large.rowsOmitted = true;
+    for (const auto &[address, count] : links.connected)
+        if (count > 0)
+            relay.onUpdate(address, large);
+    timers.advance(2s);
+    CHECK(store.polls.size() == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "Silent relays are replaced")
 {
     setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
