--- a/tests/platform/configurationsoak.cpp
+++ b/tests/platform/configurationsoak.cpp
@@ -192,9 +192,10 @@
             paths_.push_back(std::make_unique<StorePath>(thread_, store_.port(),
                                                          i < plan.largeHosts ? 0 : plan.linkRate));
             const std::string zone(1, char('a' + i % plan.zones));
-            hosts_.push_back(std::make_unique<TestHost>(TestHostOptions {
-                "host-" + zone + "-" + std::to_string(i / plan.zones + 1), "zone-" + zone,
-                i < plan.largeHosts ? "0.5" : "0.12", paths_.back()->port(), plan.folder}));
+            hosts_.push_back(std::make_unique<TestHost>(
+                TestHostOptions {"host-" + zone + "-" + std::to_string(i / plan.zones + 1),
+                                 "zone-" + zone, i < plan.largeHosts ? "0.5" : "0.12",
+                                 paths_.back()->port(), plan.folder, plan.program}));
             probes_.emplace_back(record_, *hosts_.back(), i, isOver_);
         }
     }
--- a/tests/platform/configurationsoak.h
+++ b/tests/platform/configurationsoak.h
@@ -32,6 +32,8 @@
     bool restarts = false;
     // The hosts' settings and logs.
     std::string folder;
+    // Path of kelptallyd, to compare versions; empty for that of this build.
+    std::string program;
 };
 
 // How a host answered a session by an older configuration than it should have had.
--- a/tests/platform/configurationsoak_main.cpp
+++ b/tests/platform/configurationsoak_main.cpp
@@ -27,6 +27,8 @@
     TCLAP::SwitchArg freezes("", "freezes", "Processes stand still", command);
     TCLAP::SwitchArg restarts("", "restarts", "Processes are killed or stopped", command);
     TCLAP::SwitchArg calm("", "no-silence", "Connections don't go silent", command);
+    TCLAP::ValueArg<std::string> program("", "program", "Another kelptallyd", false, "", "FILE",
+                                         command);
     TCLAP::UnlabeledValueArg<std::string> folder("folder", "Settings and logs of the hosts", true,
                                                  "", "FOLDER", command);
     command.parse(argc, argv);
@@ -44,6 +46,7 @@
         plan.cuts = cuts.getValue();
         plan.freezes = freezes.getValue();
         plan.restarts = restarts.getValue();
+        plan.program = program.getValue();
         plan.folder = folder.getValue() + "/seed-" + std::to_string(plan.seed);
         std::filesystem::create_directories(plan.folder);
         const ConfigurationSoakResult result = runConfigurationSoak(plan);
--- a/tests/platform/testhost.cpp
+++ b/tests/platform/testhost.cpp
@@ -33,7 +33,7 @@
 
 void TestHost::start()
 {
-    std::string program = KELPTALLYD;
+    std::string program = options_.program.empty() ? KELPTALLYD : options_.program;
     std::string option = "--settings";
     std::string file = file_;
     char *arguments[] = {program.data(), option.data(), file.data(), nullptr};
--- a/tests/platform/testhost.h
+++ b/tests/platform/testhost.h
@@ -18,6 +18,8 @@
     int storePort = 0;
     // The process writes its log there.
     std::string folder;
+    // Path of kelptallyd; empty for that of this build.
+    std::string program;
 };
 
 // A kelptallyd process under test with its settings file, killed with this object. Callable from
