HTTP client: reads don't use connections that may be dead

Cause: connections are kept open and the last one is used first, however long ago it answered. A host that gets its tables from a relay calls the store only when its relay fails, so its connections are as old as its process; one that went silent meanwhile costs 500 ms before the read is sent again. A long poll was then sent again with its whole wait, so that without changes the circuit breaker's limit (wait and 0.8 s) ended it and reported the store as lost.

Evidence: two new cases of services_test.

Fix: each call uses a connection that answered within the last second, as other requests than reads already did, or a new one, which costs a round trip. A long poll that is sent again after silence is not held. The model of relays uses the client's limits.

--- a/src/bench/relaymodel.cpp
+++ b/src/bench/relaymodel.cpp
@@ -4,6 +4,7 @@
 #include "decision/pollpacer.h"
 #include "host/tablerelay.h"
 #include "inner/codec.h"
+#include "services/httpclient.h"
 #include "services/storecircuitbreaker.h"
 #include "services/tablefollower.h"
 
@@ -25,9 +26,7 @@
 constexpr Duration settleTime = 14s;
 // An answer holds changes up to this size, and at least one.
 constexpr std::size_t maxChangesBytes = 1u << 20;
-// As the HTTP client: an answer of which nothing came for this long is not arriving, and a read
-// without an answer on a reused connection is sent again on a new one.
-constexpr Duration silenceTimeout = 500ms;
+constexpr Duration silenceTimeout = services::HttpClient::silenceTimeout;
 // A silent link between hosts is replaced after about this time.
 constexpr Duration linkSilenceTimeout = 2s;
 // Answers arrive in pieces of this size.
@@ -154,9 +153,10 @@
     void call(std::function<Result()> work, services::AnswerCallback<Result> callback);
     // Opens a call and returns its id.
     std::uint64_t openCall(std::function<void()> abort);
-    // Sends a call on an idle connection or a new one, and again on a new one if the first is
-    // silent. The store may hold the answer for longPollTime.
-    using Transmit = std::function<void(const StoreConnectionPtr &)>;
+    // Sends a call, which the store may hold for longPollTime, as HttpClient does: on a connection
+    // that answered recently or a new one, and again on a new one, without a wait, if the first is
+    // silent.
+    using Transmit = std::function<void(const StoreConnectionPtr &, Duration longPollTime)>;
     void transmit(std::uint64_t id, Duration longPollTime, const Transmit &request);
     void repeatIfSilent(std::uint64_t id, const StoreConnectionPtr &connection,
                         const Transmit &request);
@@ -376,14 +376,15 @@
 
 void Host::transmit(std::uint64_t id, Duration longPollTime, const Transmit &request)
 {
-    const bool isReused = !idleConnections.empty();
+    const bool isReused = !idleConnections.empty()
+        && timers.now() - idleConnections.back()->answeredAt <= services::HttpClient::maxIdleTime;
     const StoreConnectionPtr connection = isReused ? idleConnections.back() : newConnection();
     if (isReused)
         idleConnections.pop_back();
     openCalls[id].connection = connection;
     if (!cutFromStore)
         model.countCall();
-    request(connection);
+    request(connection, longPollTime);
     if (isReused)
         timers.subscribeAfter(longPollTime + silenceTimeout, [this, id, connection, request] {
             repeatIfSilent(id, connection, request);
@@ -401,7 +402,7 @@
     call->second.connection = newConnection();
     if (!cutFromStore)
         model.countCall();
-    request(call->second.connection);
+    request(call->second.connection, Duration(0));
 }
 
 template <typename Result>
@@ -409,17 +410,19 @@
 {
     const std::uint64_t id =
         openCall([callback] { callback(absl::DeadlineExceededError("no answer")); });
-    transmit(id, Duration(0), [this, id, work, callback](const StoreConnectionPtr &connection) {
-        model.timers.subscribeAfter(
-            storeDelay / 2, [this, alive = timers.alive, id, connection, work, callback] {
-                if (!*alive || !isReachable(id, connection))
-                    return;
-                const auto answer = std::make_shared<const Result>(work());
-                timers.subscribeAfter(storeDelay / 2, [this, id, connection, answer, callback] {
-                    receive(id, connection, answer, 0, callback);
-                });
-            });
-    });
+    transmit(id, Duration(0),
+             [this, id, work, callback](const StoreConnectionPtr &connection, Duration) {
+                 model.timers.subscribeAfter(
+                     storeDelay / 2, [this, alive = timers.alive, id, connection, work, callback] {
+                         if (!*alive || !isReachable(id, connection))
+                             return;
+                         const auto answer = std::make_shared<const Result>(work());
+                         timers.subscribeAfter(storeDelay / 2,
+                                               [this, id, connection, answer, callback] {
+                                                   receive(id, connection, answer, 0, callback);
+                                               });
+                     });
+             });
 }
 
 template <typename Result>
@@ -488,8 +491,8 @@
 {
     const std::uint64_t id =
         openCall([callback] { callback(absl::DeadlineExceededError("no answer")); });
-    transmit(id, wait, [=](const StoreConnectionPtr &connection) {
-        sendChanges(id, connection, table, after, wait, callback);
+    transmit(id, wait, [=](const StoreConnectionPtr &connection, Duration longPollTime) {
+        sendChanges(id, connection, table, after, longPollTime, callback);
     });
 }
 
--- a/src/services/httpclient.cpp
+++ b/src/services/httpclient.cpp
@@ -34,13 +34,8 @@
 // Holds the largest configuration document as escaped JSON.
 constexpr std::uint64_t maxResponseBytes = 16u << 20;
 constexpr unsigned httpVersion = 11;
-// A GET without an answer for this long on a reused connection is retried on a new one, and an
-// answer is overdue. An answer that pauses for this long is no longer arriving.
-constexpr Duration silenceTimeout = std::chrono::milliseconds(500);
 // Maximum time for which an answer may arrive, however steadily.
 constexpr Duration maxTransferTime = std::chrono::seconds(30);
-// Requests that can't be retried use a connection only if it answered within this time.
-constexpr Duration maxIdleForWrites = std::chrono::seconds(1);
 
 http::verb verbOf(HttpMethod method)
 {
@@ -140,7 +135,7 @@
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     void dispatch();
-    ConnectionPtr takeConnection(const Call &call);
+    ConnectionPtr takeConnection();
     Duration timeUntilOverdue(const Call &call) const;
     void dispatchWhenOverdue();
     void startTimeout(const CallPtr &call, Instant at);
@@ -416,7 +411,7 @@
 {
     while (!queue_.empty()) {
         const CallPtr call = queue_.front();
-        const ConnectionPtr connection = takeConnection(*call);
+        const ConnectionPtr connection = takeConnection();
         if (!connection)
             return dispatchWhenOverdue();
         queue_.pop_front();
@@ -428,16 +423,14 @@
     }
 }
 
-HttpClient::Pool::ConnectionPtr HttpClient::Pool::takeConnection(const Call &call)
+HttpClient::Pool::ConnectionPtr HttpClient::Pool::takeConnection()
 {
-    const bool isRetryable = call.request.method == HttpMethod::Get;
     while (!idle_.empty()) {
-        const ConnectionPtr connection = idle_.back();
         // The last idle connection is the one that answered most recently.
-        if (!isRetryable && timers_.now() - connection->answeredAt() > maxIdleForWrites)
-            break;
+        const ConnectionPtr connection = idle_.back();
         idle_.pop_back();
-        if (connection->isAlive())
+        const bool isRecent = timers_.now() - connection->answeredAt() <= maxIdleTime;
+        if (isRecent && connection->isAlive())
             return connection;
         connection->close();
     }
@@ -506,6 +499,10 @@
         return;
     reportSilence(*call);
     closeConnectionOf(call);
+    if (!call->request.repeatTarget.empty()) {
+        call->request.target = call->request.repeatTarget;
+        call->request.longPollTime = Duration(0);
+    }
     retry(call);
 }
 
--- a/src/services/httpclient.h
+++ b/src/services/httpclient.h
@@ -4,6 +4,7 @@
 #include "core/dutythread.h"
 #include "services/answercallback.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,6 +38,9 @@
     HttpMethod method = HttpMethod::Get;
     // Path and query, percent-encoded.
     std::string target;
+    // Target when the read is sent again because its connection was silent; empty for the same. A
+    // long poll, which has used up its time by then, is sent again without a wait.
+    std::string repeatTarget;
     std::string body;
     HttpCondition condition = HttpCondition::None;
     // Without quotes.
@@ -89,10 +93,16 @@
 // Unknown when the connection broke after it was sent. A GET that fails or gets no answer on a
 // reused connection is retried once on a new one; other requests are never retried. An aborted call
 // resets its connection, so that its request can't arrive later. As idle connections may be dead
-// without a reset, other requests than GET use a new connection or one that answered recently.
+// without a reset, each call uses a new connection or one that answered recently.
 class HttpClient
 {
 public:
+    // A GET without an answer for this long on a reused connection is retried on a new one, and an
+    // answer is overdue. An answer that pauses for this long is no longer arriving.
+    static constexpr Duration silenceTimeout = std::chrono::milliseconds(500);
+    // A connection is used only if it answered within this time.
+    static constexpr Duration maxIdleTime = std::chrono::seconds(1);
+
     // The address is "ip:port". The timeout covers a call from send() to the first bytes of its
     // answer, and then each pause between bytes.
     HttpClient(DutyThread &thread, const std::string &address, Duration timeout,
--- a/tests/services/httpservices_test.cpp
+++ b/tests/services/httpservices_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <mutex>
 #include <thread>
 
 using namespace kelptally;
@@ -81,6 +82,13 @@
         return PlatformFixture::addressOf(acceptor_.local_endpoint().port());
     }
 
+    // The first line of the first request of each connection.
+    std::vector<std::string> requests()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return requests_;
+    }
+
 private:
     void run()
     {
@@ -89,16 +97,28 @@
             boost::system::error_code ignored;
             boost::asio::streambuf buffer;
             boost::asio::read_until(socket, buffer, "\r\n\r\n", ignored);
+            addRequest(buffer);
             boost::asio::write(socket, boost::asio::buffer(answer_), ignored);
             silent_.push_back(std::move(socket));
         }
     }
 
+    void addRequest(boost::asio::streambuf &buffer)
+    {
+        std::istream stream(&buffer);
+        std::string line;
+        std::getline(stream, line);
+        const std::lock_guard<std::mutex> lock(mutex_);
+        requests_.push_back(line);
+    }
+
     boost::asio::io_context context_;
     Tcp::acceptor acceptor_;
     const std::string answer_;
     std::atomic<bool> stopping_ {false};
     std::vector<Tcp::socket> silent_;
+    std::mutex mutex_;
+    std::vector<std::string> requests_;
     std::thread thread_;
 };
 
@@ -389,6 +409,39 @@
     CHECK(fixture.write({{"t", "k", "v", {}}}).ok());
 }
 
+// The timeout is below the time after which a read on a silent connection is sent again.
+TEST_CASE("A read uses a connection that answered recently, or a new one")
+{
+    SilentServer server(httpAnswer("404 Not Found", "{}"));
+    PlatformFixture fixture;
+    redirect(fixture, server.address(), 400ms);
+    REQUIRE(fixture.read("t", "k").ok());
+    std::this_thread::sleep_for(1100ms);
+    CHECK(fixture.read("t", "k").ok());
+    CHECK(server.requests().size() == 2);
+}
+
+TEST_CASE("A long poll on a silent connection is sent again without a wait")
+{
+    SilentServer server(httpAnswer("200 OK", "{}"));
+    PlatformFixture fixture;
+    HttpClient client(fixture.thread, server.address(), 3s);
+    const auto send = [&](const HttpRequest &request) {
+        return fixture.wait<absl::StatusOr<HttpResponse>>(
+            [&](HttpCallback done) { client.send(request, std::move(done)); });
+    };
+    HttpRequest poll;
+    poll.target = "/feed?wait=200";
+    poll.repeatTarget = "/feed?wait=0";
+    poll.longPollTime = 200ms;
+    REQUIRE(send(poll).ok());
+    CHECK(send(poll).ok());
+    CHECK(server.requests()
+          == std::vector<std::string> {"GET /feed?wait=200 HTTP/1.1\r",
+                                       "GET /feed?wait=0 HTTP/1.1\r"});
+    fixture.thread.stop();
+}
+
 // Trial calls to a silent service are given up after 250 ms, but kept their connections for the
 // client's whole timeout. Once all were taken, a trial after the recovery was not even sent.
 TEST_CASE("A read is sent although earlier ones hold all connections without an answer")
