Relayed tables: the read of an old state leaves time for a lost answer

Callers: a host is late with a configuration (CONFIG), 5,088 of 5,000 ms in the run behind late_configuration_small_host, when one read of the table is not answered.

Cause: a subscriber read the store when its last confirmation was 0.65 to 0.9 of the poll's wait old, 3.6 s with a bound of 5 s. A read without an answer is given up after 0.8 s and repeated after 0.19 s more, which leaves 0.4 s to receive and install the rows; with a bound of 3 s nothing is left. The limits were fractions chosen against the wait of a poll, and nothing added up what may follow them.

Fix: the read comes at 0.55 to 0.7 of the wait. Relays let the store hold their polls for 0.3 of it, 0.4 before, so that the margin between a relay's confirmation and a subscriber's own read stays an eighth.

--- a/src/decision/relaychoice.cpp
+++ b/src/decision/relaychoice.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-// Fractions of the poll wait of a host without relays. minAgeFraction + ageFractionSpread must stay
-// below 1, so that a subscriber polls before such a host would. A relay's confirmation is at most
-// 0.4 of the wait old, and a subscriber's at most 0.9 before it polls.
-constexpr double relayWaitFraction = 0.4;
-constexpr double minAgeFraction = 0.65;
-constexpr double ageFractionSpread = 0.25;
+// Fractions of the time within which a host has to know a change. A relay's confirmation, at most
+// relayWaitFraction old, is published within another eighth, before its subscribers poll. After
+// minAgeFraction + ageFractionSpread there is time to notice that the answer to such a poll is lost,
+// to repeat it on a new connection, and to receive and install the rows.
+constexpr double relayWaitFraction = 0.3;
+constexpr double minAgeFraction = 0.55;
+constexpr double ageFractionSpread = 0.15;
 constexpr double maxDelayFraction = 1.2;
 constexpr double minDelayFraction = 0.5;
 constexpr double maxCapacityDelayFraction = 0.7;
--- a/src/decision/relaychoice.h
+++ b/src/decision/relaychoice.h
@@ -68,8 +68,8 @@
 Duration relayPollWait(Duration wait);
 
 // Age of its last confirmation at which a subscriber polls the service itself. Leaves time for a
-// relay's poll and one lost message, and a tenth of `wait` for the service's answer. `draw`, from 0
-// to 1, spreads subscribers that lose their relays at the same time.
+// relay's poll before, and for a lost answer of the service after. `draw`, from 0 to 1, spreads
+// subscribers that lose their relays at the same time.
 Duration maxConfirmationAge(Duration wait, double draw);
 
 // Whether the rest of an answer with changes is so much larger than the table that the table is
