Relayed tables: hosts return to their relays after a silence of all of them

Callers see nothing of it; the store does: a host that found its relays silent avoids them for 15 s. Calls then grow with the number of hosts, which relays exist to prevent.

Evidence: in the logs of late_configuration_test no_teller is the only reason of table_asked from the first silence to the end, 26 s later. In the model, 40 hosts and one group, all 40 hosts poll 36 s after a relay was cut off from the store for 9 s.

Fix: when the time is over, a host without relays chooses anew.

Test: a case of relay_test; 40 polling hosts of at most 8 before.

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -806,8 +806,15 @@
         avoidedUntil_[address] = now + relayAvoidTime;
         changed = true;
     }
-    if (changed)
-        chooseRelays();
+    if (!changed)
+        return;
+    chooseRelays();
+    // A host without other relays returns to these, rather than polling for itself until the owners
+    // change.
+    parts_.timers.subscribeAfter(relayAvoidTime, [this, alive = alive_] {
+        if (*alive && relays_.empty())
+            chooseRelays();
+    });
 }
 
 } // namespace kelptally::host
--- a/tests/bench/relay_test.cpp
+++ b/tests/bench/relay_test.cpp
@@ -64,6 +64,17 @@
         }
 }
 
+TEST_CASE("Hosts listen to their relay again after it has lost the store for a while")
+{
+    RelayPlan plan = planOf(40);
+    plan.groups = 1;
+    plan.length = 60s;
+    plan.faults.push_back({RelayFaultKind::CutFromStore, 15s, 9s, true});
+    const RelayResult result = simulateRelays(plan, 1);
+    CHECK(result.violations == std::vector<std::string>());
+    CHECK(result.pollingHosts <= 8);
+}
+
 TEST_CASE("Tight bounds hold with few hosts")
 {
     for (const int hosts : {1, 2, 3, 8}) {
