--- a/tests/platform/configurationsoak.cpp
+++ b/tests/platform/configurationsoak.cpp
@@ -288,11 +288,14 @@
         scheduleChange();
         if (plan_.silences)
             scheduleSilence();
+        if (plan_.freezesOwners)
+            scheduleFreezeOfOwners();
         if (plan_.cuts)
             scheduleHostDisturbance(
                 3000, [this](int host) { cut(host, milliseconds(500 + draw(6000))); });
         if (plan_.freezes)
-            scheduleHostDisturbance(3000, [this](int host) { freeze(host); });
+            scheduleHostDisturbance(
+                3000, [this](int host) { freeze(host, milliseconds(300 + draw(3500))); });
         if (plan_.restarts)
             scheduleHostDisturbance(4000, [this](int host) { restart(host); });
     }
@@ -334,6 +337,18 @@
                 cut(i, length);
     }
 
+    void scheduleFreezeOfOwners()
+    {
+        schedule(milliseconds(5500 + draw(2000)), [this] {
+            const Duration length = milliseconds(2700 + draw(500));
+            ++result_.disturbances;
+            for (int i = 0; i < plan_.hosts; ++i)
+                if (!isDisturbed(i) && hosts_[std::size_t(i)]->ownsGroup())
+                    freeze(i, length);
+            scheduleFreezeOfOwners();
+        });
+    }
+
     bool isDisturbed(int host) const { return record_.disturbedUntil(host) == Instant::max(); }
 
     void scheduleHostDisturbance(int maxGapMs, std::function<void(int)> begin)
@@ -363,12 +378,12 @@
             true);
     }
 
-    void freeze(int host)
+    void freeze(int host, Duration length)
     {
         record_.setDisturbed(host, Instant::max());
         hosts_[std::size_t(host)]->signal(SIGSTOP);
         schedule(
-            milliseconds(300 + draw(3500)),
+            length,
             [this, host] {
                 hosts_[std::size_t(host)]->signal(SIGCONT);
                 endDisturbance(host);
--- a/tests/platform/configurationsoak.h
+++ b/tests/platform/configurationsoak.h
@@ -27,6 +27,8 @@
     bool silences = true;
     // Whether the hosts that own a group, and so are relays, lose the store at each silence.
     bool cutsOwners = false;
+    // Whether these hosts stand still together again and again.
+    bool freezesOwners = false;
     bool cuts = false;
     bool freezes = false;
     bool restarts = false;
--- a/tests/platform/configurationsoak_main.cpp
+++ b/tests/platform/configurationsoak_main.cpp
@@ -23,6 +23,7 @@
                               false, 0, "N", command);
     TCLAP::ValueArg<int> length("", "length", "Seconds of each seed", false, 40, "S", command);
     TCLAP::SwitchArg cutsOwners("", "cut-owners", "Owners lose the store at each silence", command);
+    TCLAP::SwitchArg freezesOwners("", "freeze-owners", "Owners stand still together", command);
     TCLAP::SwitchArg cuts("", "cuts", "Hosts lose the store", command);
     TCLAP::SwitchArg freezes("", "freezes", "Processes stand still", command);
     TCLAP::SwitchArg restarts("", "restarts", "Processes are killed or stopped", command);
@@ -43,6 +44,7 @@
         plan.length = std::chrono::seconds(length.getValue());
         plan.silences = !calm.getValue();
         plan.cutsOwners = cutsOwners.getValue();
+        plan.freezesOwners = freezesOwners.getValue();
         plan.cuts = cuts.getValue();
         plan.freezes = freezes.getValue();
         plan.restarts = restarts.getValue();
