Relayed tables: a table whose history has expired is read at once without relays

Callers: hosts refuse a route that was added, and let one run that was dropped, over 5 s after the acknowledgement (CONFIG), each with a configuration that is old as a whole.

Cause: the store may discard its history at any time; the next poll then fails, and the follower asks for the whole table. A host without capacity waits for its relay to send it, as at its start: 7 s if it knows no relay, which is so for 15 s after its relays were silent, and 1.2 s if it knows one, whatever the age of its state. Class: a wait for the start of a process that also applies later, to a state that is used meanwhile.

Found by reading, then brought about.

Fix: a host that followed the table before reads it from the store at once if it knows no relay, and waits for a relay no longer than until its state is too old.

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -89,14 +89,29 @@
 {
     const auto known = tables_.find(table);
     const bool isServiceAnswering = known != tables_.end() && known->second.needsSnapshot;
-    if (parts_.hasCapacity || table == parts_.candidateTable || isRelay() || isServiceAnswering)
+    const Duration maxWait = maxSnapshotWait(table);
+    if (parts_.hasCapacity || table == parts_.candidateTable || isRelay() || isServiceAnswering
+        || maxWait <= Duration(0))
         return readSnapshot(table, std::move(callback));
     pendingSnapshots_[table].callback = std::move(callback);
-    startSnapshotTimer(table, relays_.empty() ? maxRelayDiscoveryTime : maxRelaySilence);
+    startSnapshotTimer(table, maxWait);
     for (const auto &[address, state] : relays_)
         requestSnapshots(address);
 }
 
+// How long a relay is awaited. A table that was followed before, whose history the service has
+// discarded, is outdated meanwhile.
+Duration TableRelay::maxSnapshotWait(const std::string &table) const
+{
+    const auto known = tables_.find(table);
+    const bool wasFollowed = known != tables_.end() && !known->second.name.empty();
+    if (!wasFollowed)
+        return relays_.empty() ? maxRelayDiscoveryTime : maxRelaySilence;
+    if (relays_.empty())
+        return Duration(0);
+    return std::min(maxRelaySilence, confirmationLimit(known->second) - parts_.timers.now());
+}
+
 void TableRelay::readSnapshot(const std::string &table, services::SnapshotCallback callback)
 {
     readingTables_.insert(table);
@@ -315,20 +330,24 @@
 
 // Polls of the service
 
+Instant TableRelay::confirmationLimit(const Table &table)
+{
+    return table.confirmedAt + decision::maxConfirmationAge(table.wait, table.draw);
+}
+
 Instant TableRelay::pollDueAt(const Table &table) const
 {
-    const Instant confirmationLimit =
-        table.confirmedAt + decision::maxConfirmationAge(table.wait, table.draw);
+    const Instant limit = confirmationLimit(table);
     // An announced change may be as old as the last confirmation. A poll in flight brings it, too.
     if (table.needsPoll)
-        return table.pendingPoll != 0 ? table.pollAt : std::min(table.pollAt, confirmationLimit);
+        return table.pendingPoll != 0 ? table.pollAt : std::min(table.pollAt, limit);
     if (!relays_.empty())
-        return confirmationLimit;
+        return limit;
     if (discoveryDone_)
         return Instant::min();
     // No relay is known yet: the candidate table is polled first, as it may name one.
     if (table.name != parts_.candidateTable)
-        return confirmationLimit;
+        return limit;
     Duration shortest = table.wait;
     for (const auto &[name, other] : tables_)
         shortest = std::min(shortest, other.wait);
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -165,6 +165,7 @@
     static bool isLarge(const services::TableRow &row);
 
     // First snapshot of a table, from the service or from a relay.
+    Duration maxSnapshotWait(const std::string &table) const;
     void readSnapshot(const std::string &table, services::SnapshotCallback callback);
     void onSnapshot(const std::string &table, const services::TableSnapshot &snapshot);
     void startSnapshotTimer(const std::string &table, Duration limit);
@@ -177,6 +178,8 @@
 
     void pollIfDue(Table &table);
     void pollDueTables();
+    // When the state is too old to be used without a confirmation.
+    static Instant confirmationLimit(const Table &table);
     Instant pollDueAt(const Table &table) const;
     void startPoll(Table &table, Duration wait, const char *why);
     static bool onPollProgress(Table &table, std::uint64_t poll,
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -727,6 +727,23 @@
     CHECK(read);
 }
 
+TEST_CASE_METHOD(StartFixture,
+                 "A host without relays reads a table at once when its history has expired")
+{
+    start();
+    timers.advance(8s);
+    REQUIRE(store.snapshots == 1);
+    subscriber.changes("t", 100, wait, [this](const auto &got) {
+        REQUIRE(absl::IsOutOfRange(got.status()));
+        start();
+    });
+    timers.advance(wait);
+    REQUIRE(!store.polls.empty());
+    store.answer(absl::OutOfRangeError("history expired"));
+    timers.advance(10ms);
+    CHECK(store.snapshots == 2);
+}
+
 TEST_CASE_METHOD(StartFixture, "Rows that change while a table is being sent are sent again")
 {
     relay.snapshot("t", [](const auto &) {});
--- a/tests/platform/configurationsoak.cpp
+++ b/tests/platform/configurationsoak.cpp
@@ -288,6 +288,8 @@
         scheduleChange();
         if (plan_.silences)
             scheduleSilence();
+        if (plan_.discardsHistory)
+            scheduleDiscard();
         if (plan_.freezesOwners)
             scheduleFreezeOfOwners();
         if (plan_.cuts)
@@ -337,6 +339,14 @@
                 cut(i, length);
     }
 
+    void scheduleDiscard()
+    {
+        schedule(milliseconds(1000 + draw(3000)), [this] {
+            store_.discardHistory();
+            scheduleDiscard();
+        });
+    }
+
     void scheduleFreezeOfOwners()
     {
         schedule(milliseconds(5500 + draw(2000)), [this] {
--- a/tests/platform/configurationsoak.h
+++ b/tests/platform/configurationsoak.h
@@ -29,6 +29,8 @@
     bool cutsOwners = false;
     // Whether these hosts stand still together again and again.
     bool freezesOwners = false;
+    // Whether the store discards its history again and again.
+    bool discardsHistory = false;
     bool cuts = false;
     bool freezes = false;
     bool restarts = false;
--- a/tests/platform/configurationsoak_main.cpp
+++ b/tests/platform/configurationsoak_main.cpp
@@ -23,6 +23,7 @@
                               false, 0, "N", command);
     TCLAP::ValueArg<int> length("", "length", "Seconds of each seed", false, 40, "S", command);
     TCLAP::SwitchArg cutsOwners("", "cut-owners", "Owners lose the store at each silence", command);
+    TCLAP::SwitchArg discards("", "discard-history", "The store discards its history", command);
     TCLAP::SwitchArg freezesOwners("", "freeze-owners", "Owners stand still together", command);
     TCLAP::SwitchArg cuts("", "cuts", "Hosts lose the store", command);
     TCLAP::SwitchArg freezes("", "freezes", "Processes stand still", command);
@@ -45,6 +46,7 @@
         plan.silences = !calm.getValue();
         plan.cutsOwners = cutsOwners.getValue();
         plan.freezesOwners = freezesOwners.getValue();
+        plan.discardsHistory = discards.getValue();
         plan.cuts = cuts.getValue();
         plan.freezes = freezes.getValue();
         plan.restarts = restarts.getValue();
--- a/tests/platform/fakeplatform.cpp
+++ b/tests/platform/fakeplatform.cpp
@@ -62,6 +62,19 @@
     changes_[table].push_back({key, value, version_});
 }
 
+void FakeStore::discardHistory()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    changes_.clear();
+    discardedUpTo_ = version_;
+}
+
+bool FakeStore::isHistoryAvailable(std::uint64_t after)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return after >= discardedUpTo_;
+}
+
 std::string FakeStore::value(const std::string &table, const std::string &key)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -128,6 +141,11 @@
                            Instant until)
 {
     const auto after = std::strtoull(parameter(request.query, "after").c_str(), nullptr, 10);
+    if (!isHistoryAvailable(after)) {
+        caller::HttpResponse gone;
+        gone.status = 410;
+        return reply->send(std::move(gone));
+    }
     if (auto changes = changesAfter(parameter(request.query, "table"), after))
         return reply->send(caller::jsonResponse(*std::move(changes)));
     if (thread_.timers().now() >= until)
--- a/tests/platform/fakeplatform.h
+++ b/tests/platform/fakeplatform.h
@@ -26,6 +26,8 @@
     int port() const { return server_.port(); }
     void put(const std::string &table, const std::string &key, const std::string &value);
     std::string value(const std::string &table, const std::string &key);
+    // Discards the history of all tables: changes after an older version are not available.
+    void discardHistory();
 
     void onRequest(caller::HttpRequest request, caller::HttpReplyPtr reply) override;
     void onCallerDisconnected(caller::ConnectionId) override { }
@@ -41,6 +43,7 @@
     void write(const std::string &table, const std::string &key, const std::string &value);
     std::string rowsFrom(const std::string &table, const std::string &from);
     // Returns nothing when there are no changes.
+    bool isHistoryAvailable(std::uint64_t after);
     std::optional<std::string> changesAfter(const std::string &table, std::uint64_t after);
     std::string emptyChanges();
     void answerFeed(const caller::HttpRequest &request, const caller::HttpReplyPtr &reply,
@@ -54,6 +57,8 @@
     // All versions of each row, in order.
     std::map<std::string, std::vector<Row>> changes_;
     std::uint64_t version_ = 0;
+    // Version up to which the history was discarded.
+    std::uint64_t discardedUpTo_ = 0;
 };
 
 // A primary without replicas, which records every line that it receives.
--- a/tests/platform/lateconfiguration_test.cpp
+++ b/tests/platform/lateconfiguration_test.cpp
@@ -39,6 +39,17 @@
     checkSoak(plan);
 }
 
+TEST_CASE("A host without relays has a configuration in time when the store discards its history")
+{
+    ConfigurationSoakPlan plan;
+    plan.hosts = 12;
+    plan.largeHosts = 3;
+    plan.length = 22s;
+    plan.cutsOwners = true;
+    plan.discardsHistory = true;
+    checkSoak(plan);
+}
+
 TEST_CASE("Configurations are in force in time while connections to the store go silent")
 {
     ConfigurationSoakPlan plan;
