Relayed tables: a store whose clock stands still is not polled without a pause

Not seen by callers. Since a state that is too old is read without a wait, an answer that does not confirm it would lead to the next read at once: 5,689 polls of one host in 60 s in the new case of tablerelay_test.

Fix: such reads are at least as far apart as the polls of a relay. The case fails without it.

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -341,8 +341,9 @@
     // An announced change may be as old as the last confirmation. A poll in flight brings it, too.
     if (table.needsPoll)
         return table.pendingPoll != 0 ? table.pollAt : std::min(table.pollAt, limit);
+    // If the service's clock stands still, its answers confirm nothing.
     if (!relays_.empty())
-        return limit;
+        return std::max(limit, table.polledAt + decision::relayPollWait(table.wait));
     if (discoveryDone_)
         return Instant::min();
     // No relay is known yet: the candidate table is polled first, as it may name one.
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -744,6 +744,27 @@
     CHECK(store.snapshots == 2);
 }
 
+// A service whose clock stands still confirms nothing.
+TEST_CASE_METHOD(Fixture, "A state that no answer confirms is read at the pace of a relay")
+{
+    // Enough that the host always finds one that has not been silent.
+    std::vector<decision::RelayCandidate> all;
+    for (int i = 0; i < 60; ++i)
+        all.push_back({"relay-" + std::to_string(i), "zone"});
+    setCandidates(all);
+    services::TableChanges unchanged;
+    unchanged.next = 100;
+    unchanged.serviceTime = store.serviceTime;
+    const Instant end = timers.now() + 60s;
+    while (timers.now() < end) {
+        timers.advance(10ms);
+        if (store.answer)
+            std::exchange(store.answer, nullptr)(unchanged);
+    }
+    CHECK(store.polls.size() > 2);
+    CHECK(store.polls.size() <= std::size_t(60s / decision::relayPollWait(wait)));
+}
+
 TEST_CASE_METHOD(StartFixture, "Rows that change while a table is being sent are sent again")
 {
     relay.snapshot("t", [](const auto &) {});
