--- a/tests/platform/configurationsoak.cpp
+++ b/tests/platform/configurationsoak.cpp
@@ -137,16 +137,31 @@
         for (int change = 0; !isOver_; ++change) {
             while (!isOver_ && record_.acknowledgedAt(change) == Instant::max())
                 std::this_thread::sleep_for(probePeriod);
-            awaitSession(databaseOf(change), change, TestHost::Session::Open);
-            if (change >= routeLifetime)
-                awaitSession(databaseOf(change - routeLifetime), change,
-                             TestHost::Session::Refused);
+            // By turns, as a host that answers one by the new version answers the other, too.
+            if (change % 2 == 0) {
+                awaitAdded(change);
+                awaitDropped(change);
+            } else {
+                awaitDropped(change);
+                awaitAdded(change);
+            }
         }
     }
 
     const LateAnswer &maxLateness() const { return maxLateness_; }
 
 private:
+    void awaitAdded(int change)
+    {
+        awaitSession(databaseOf(change), change, TestHost::Session::Open);
+    }
+
+    void awaitDropped(int change)
+    {
+        if (change >= routeLifetime)
+            awaitSession(databaseOf(change - routeLifetime), change, TestHost::Session::Refused);
+    }
+
     // Repeats until the host answers as the change demands, or a later change ends the demand.
     void awaitSession(const std::string &database, int change, TestHost::Session expected)
     {
@@ -462,9 +477,12 @@
     std::vector<LateAnswer> answers = result.maxOfHosts;
     std::sort(answers.begin(), answers.end(),
               [](const LateAnswer &a, const LateAnswer &b) { return a.lateness > b.lateness; });
+    const auto begun = std::count_if(result.late.begin(), result.late.end(),
+                                     [](const LateAnswer &answer) { return !answer.wasRefused; });
     std::ostringstream text;
     text << result.versions << " versions, " << result.disturbances << " disturbances, "
-         << result.late.size() << " answers past the bound; greatest lateness in ms:";
+         << result.late.size() << " answers past the bound, of them " << begun
+         << " sessions begun; greatest lateness in ms:";
     constexpr std::size_t maxHosts = 6;
     for (std::size_t i = 0; i < std::min(maxHosts, answers.size()); ++i)
         text << " " << answers[i].host << " " << answers[i].lateness / 1ms << " ("
