--- a/src/decision/relaychoice.cpp
+++ b/src/decision/relaychoice.cpp
@@ -9,8 +9,8 @@
 
 // Fractions of the time within which a host has to know a change. A relay's confirmation, at most
 // relayWaitFraction old, is published within another eighth, before its subscribers poll. After
-// minAgeFraction + ageFractionSpread there is time to notice that the answer to such a poll is lost,
-// to repeat it on a new connection, and to receive and install the rows.
+// minAgeFraction + ageFractionSpread there is time to notice that the answer to such a poll is
+// lost, to repeat it on a new connection, and to receive and install the rows.
 constexpr double relayWaitFraction = 0.3;
 constexpr double minAgeFraction = 0.55;
 constexpr double ageFractionSpread = 0.15;
