Relayed tables: announced rows that are being read are not read twice at once

Not seen by callers.

Fix: a read of announced rows is left alone; the circuit breaker repeats it if it is lost.

Test: a case of tablerelay_test, 2 polls of 1 before.

--- a/src/host/tablerelay.cpp
+++ b/src/host/tablerelay.cpp
@@ -377,8 +377,10 @@
         return;
     }
     // 2. Any other host polls when rows are missing or its state is too old. A poll in flight is
-    // repeated only if rows were announced since and nothing of its answer has arrived.
-    if (table.pendingPoll != 0 && (!table.needsPoll || table.isAnswerArriving))
+    // repeated only if rows were announced since, unless it reads earlier ones or its answer is
+    // arriving.
+    const bool isReading = table.isReadingRows || table.isAnswerArriving;
+    if (table.pendingPoll != 0 && (!table.needsPoll || isReading))
         return;
     const Instant due = pollDueAt(table);
     if (now < due) {
@@ -425,6 +427,7 @@
         line.with("announced_ms", parts_.timers.now() - table.announcedAt);
     const std::uint64_t poll = ++lastPoll_;
     table.pendingPoll = poll;
+    table.isReadingRows = table.needsPoll;
     table.isAnswerArriving = false;
     table.polledAt = parts_.timers.now();
     table.needsPoll = false;
--- a/src/host/tablerelay.h
+++ b/src/host/tablerelay.h
@@ -119,8 +119,10 @@
         std::uint64_t after = 0;
         Duration wait {0};
         services::ChangesCallback callback;
-        // Newest poll of the service in flight, 0 if none, and whether its answer has begun.
+        // Newest poll of the service in flight, 0 if none; whether it reads announced rows, and
+        // whether its answer has begun.
         std::uint64_t pendingPoll = 0;
+        bool isReadingRows = false;
         bool isAnswerArriving = false;
         Instant polledAt {};
         // Set when changes up to neededVersion must be read from the service at pollAt.
--- a/tests/host/tablerelay_test.cpp
+++ b/tests/host/tablerelay_test.cpp
@@ -262,6 +262,24 @@
     CHECK(store.polls.size() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "Announced rows that are being read are not read twice at once")
+{
+    subscribe();
+    timers.advance(1s);
+    inner::TableUpdate large = update(100, 105, clock());
+    large.rowsOmitted = true;
+    relay.onUpdate("first", large);
+    timers.advance(1500ms);
+    REQUIRE(store.polls.size() == 1);
+    CHECK(store.polls[0].second == Duration(0));
+    // The service answers slowly, and the next change is announced.
+    inner::TableUpdate next = update(105, 106, clock());
+    next.rowsOmitted = true;
+    relay.onUpdate("first", next);
+    timers.advance(3s);
+    CHECK(store.polls.size() == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "Silent relays are replaced")
 {
     setCandidates({{"first", "zone"}, {"second", "other"}, {"third", "zone"}});
