Servers: a connection takes one batch at a time, and successes are signed

A second batch on a busy connection replaced the callback and the answers of the first, so that every later answer counted for the wrong command, and a success without a signature was passed on.

The logs didn't tell whether an answer was lost, repeated or taken from another command.

Each connection is now wrapped once, for the owner's statements, its control commands and local reads alike: a second batch or a missing signature is logged as an error with the ids of both statements, counted, and ends the connection.

Tests: connections of any connector before passed both on; the new cases can't be built without the class.

--- /dev/null
+++ b/src/group/checkedconnector.cpp
@@ -0,0 +1,125 @@
+#include "group/checkedconnector.h"
+
+#include <prometheus/counter.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace kelptally::group {
+
+namespace {
+
+constexpr char errorsName[] = "kelptally_server_connection_errors_total";
+constexpr char errorsHelp[] =
+    "Connections to servers that were closed because an answer could have "
+    "been taken for that of another command";
+
+// Returns the id of the caller's statement in the batch, or "-".
+std::string statementIdOf(const std::vector<ServerCommand> &batch)
+{
+    for (const ServerCommand &command : batch)
+        if (!command.id.empty())
+            return command.id;
+    return "-";
+}
+
+// Whether a success of the command carries the server's signature.
+bool isSigned(const ServerCommand &command)
+{
+    return command.kind == CommandKind::Statement || command.kind == CommandKind::ExecutePrepared;
+}
+
+} // namespace
+
+// Kept alive by its pool, and by the batch that runs on it.
+class CheckedConnector::Connection : public ServerConnection,
+                                     public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(CheckedConnector &connector, ServerName server, ServerConnectionPtr connection)
+        : connector_(connector), server_(std::move(server)), connection_(std::move(connection))
+    { }
+
+    void run(std::vector<ServerCommand> batch, BatchCallback callback) override;
+    void close() override { connection_->close(); }
+    bool isOpen() const override { return connection_->isOpen(); }
+    void onEnd(std::function<void()> callback) override { connection_->onEnd(std::move(callback)); }
+
+private:
+    void onResult(BatchResult result);
+    void logError(std::string_view event, const std::string &statement);
+
+    CheckedConnector &connector_;
+    const ServerName server_;
+    const ServerConnectionPtr connection_;
+    // The running batch.
+    std::vector<ServerCommand> batch_;
+    BatchCallback callback_;
+};
+
+void CheckedConnector::Connection::run(std::vector<ServerCommand> batch, BatchCallback callback)
+{
+    if (callback_) {
+        connector_.busyErrors_.Increment();
+        logError("connection_busy", statementIdOf(batch));
+        connection_->close();
+        TimerService &timers = connector_.parts_.timers;
+        timers.subscribeAt(timers.now(), [callback = std::move(callback)] {
+            callback({{}, true});
+        });
+        return;
+    }
+    batch_ = batch;
+    callback_ = std::move(callback);
+    connection_->run(std::move(batch), [self = shared_from_this()](BatchResult result) {
+        self->onResult(std::move(result));
+    });
+}
+
+void CheckedConnector::Connection::onResult(BatchResult result)
+{
+    const std::size_t answered = std::min(result.results.size(), batch_.size());
+    for (std::size_t i = 0; i < answered; ++i) {
+        const CommandResult &answer = result.results[i];
+        if (!isSigned(batch_[i]) || answer.error != ServerError::None || !answer.signature.empty())
+            continue;
+        connector_.unsignedErrors_.Increment();
+        logError("answer_unsigned", batch_[i].id);
+        // Whether the statement ran is unknown, as if its answer had been lost.
+        result.results.resize(i);
+        result.lost = true;
+        connection_->close();
+        break;
+    }
+    const BatchCallback callback = std::exchange(callback_, nullptr);
+    callback(std::move(result));
+}
+
+void CheckedConnector::Connection::logError(std::string_view event, const std::string &statement)
+{
+    connector_.parts_.log.line(LogLevel::Error, event)
+        .with("server", server_)
+        .with("id", statement)
+        .with("running", statementIdOf(batch_));
+}
+
+CheckedConnector::CheckedConnector(const Parts &parts)
+    : parts_(parts),
+      busyErrors_(parts.metrics.counter(errorsName, errorsHelp, {{"cause", "busy"}})),
+      unsignedErrors_(parts.metrics.counter(errorsName, errorsHelp, {{"cause", "unsigned"}}))
+{ }
+
+void CheckedConnector::connect(const ServerAddress &server, const OrganisationName &organisation,
+                               Duration timeout, ServerConnectCallback callback)
+{
+    parts_.connector.connect(server, organisation, timeout,
+                             [this, id = server.id, callback = std::move(callback)](
+                                 ConnectOutcome outcome, const ServerConnectionPtr &connection) {
+                                 if (!connection)
+                                     return callback(outcome, nullptr);
+                                 callback(outcome,
+                                          std::make_shared<Connection>(*this, id, connection));
+                             });
+}
+
+} // namespace kelptally::group
--- /dev/null
+++ b/src/group/checkedconnector.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/timerservice.h"
+#include "group/serverinterface.h"
+
+// Connections to servers whose answers are certain to belong to the commands that were sent.
+namespace kelptally::group {
+
+// Connects through another connector. Its connections refuse a second batch while one is running,
+// and a success without a signature where the server owes one. Either ends the connection and is
+// logged as an error, since nobody can tell any more which command an answer belongs to.
+class CheckedConnector : public ServerConnector
+{
+public:
+    struct Parts
+    {
+        ServerConnector &connector;
+        TimerService &timers;
+        EventLog &log;
+        Metrics &metrics;
+    };
+
+    explicit CheckedConnector(const Parts &parts);
+
+    void connect(const ServerAddress &server, const OrganisationName &organisation,
+                 Duration timeout, ServerConnectCallback callback) override;
+
+private:
+    class Connection;
+
+    const Parts parts_;
+    prometheus::Counter &busyErrors_;
+    prometheus::Counter &unsignedErrors_;
+};
+
+} // namespace kelptally::group
--- a/src/group/serverinterface.h
+++ b/src/group/serverinterface.h
@@ -72,6 +72,7 @@
     // Code and text of the error.
     std::string detail;
     std::vector<std::string> rows;
+    // Empty if the answer has none.
     std::string signature;
     std::optional<ServerReport> report;
     std::optional<Position> position;
--- a/src/host/hostprocess.cpp
+++ b/src/host/hostprocess.cpp
@@ -48,8 +48,9 @@
                   [this](const GroupName &group, const std::vector<group::ListedServer> &servers) {
                       onServers(group, servers);
                   }),
-      localReads_({ports.timers, ports.connector, ports.log, ports.metrics, stageTimes_,
-                   settings.zone, [this](Instant since) { closeStaleConnections(since); },
+      connector_({ports.connector, ports.timers, ports.log, ports.metrics}),
+      localReads_({ports.timers, connector_, ports.log, ports.metrics, stageTimes_, settings.zone,
+                   [this](Instant since) { closeStaleConnections(since); },
                    [this](const OrganisationName &organisation) {
                        return groups_->quotas().hasQuota(organisation);
                    }})
@@ -72,7 +73,7 @@
         store_,
         tableRelay_,
         store_,
-        ports_.connector,
+        connector_,
         ports_.promotions,
         ports_.log,
         ports_.metrics,
--- a/src/host/hostprocess.h
+++ b/src/host/hostprocess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/fieldreader.h"
+#include "group/checkedconnector.h"
 #include "group/grouphost.h"
 #include "group/localreads.h"
 #include "group/serverlist.h"
@@ -199,6 +200,7 @@
     prometheus::Counter &renotifiedGroups_;
     group::ServerList serverList_;
     std::unique_ptr<group::GroupHost> groups_;
+    group::CheckedConnector connector_;
     group::LocalReads localReads_;
     std::unique_ptr<session::Router> router_;
     CallerConnections *callers_ = nullptr;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -123,6 +123,7 @@
 {
     CHECK(parseServerMessage("DATAROW a b").text == "a b");
     CHECK(parseServerMessage("COMPLETE 7.1").text == "7.1");
+    CHECK(parseServerMessage("COMPLETE -").text.empty());
     CHECK(parseServerMessage("ERROR LAGGING i-7").error == group::ServerError::Lagging);
     CHECK(parseServerMessage("ERROR MAXCONN").tooManyConnections);
     CHECK(parseServerMessage("ERROR WRONGNODE x").wrongServer);
