Transactions: a session has one at a time at its owner

An entry whose owner stands still gives up the first statement of a transaction and sends it again under a newer number once the owner answers. The owner then had both copies. Whichever began last replaced the session's transaction, while the connection of the other one stayed open: neither rolled back nor closed. In overload the newer copy starts first, so that the outdated one took its place, and the session's next statement was sent on the connection on which that copy was still running.

Now a begin shows its owner that every earlier transaction of the session has been given up. A copy of the same statement that is queued or running takes over the newer number, so that it runs once; any other is rolled back or cancelled. What ends a statement ends its own transaction only, and never the one that the session has since. An end that arrives late spares the newer number as before.

Related paths that were looked at: src/owner names transactions by unguessable numbers and src/backend refuses a second batch on a busy connection; local reads and single reads run outside transactions, and the latter keep their number.

A transaction that was given up without an end kept its connection for good.

--- a/src/group/grouprunner.cpp
+++ b/src/group/grouprunner.cpp
@@ -133,7 +133,7 @@
             && !transaction.connection->connection->isOpen())
             ended.push_back(origin);
     for (const Origin &origin : ended)
-        removeTransaction(origin, true);
+        removeTransaction(origin);
     if (active_)
         server.warmUp();
     failoverController_.onRestarted(server.id());
@@ -213,8 +213,8 @@
 {
     if (!options_.synchronous || !commits(job->statement))
         return false;
-    const auto open = transactions_.find(job->origin);
-    return !job->statement.inTransaction || (open != transactions_.end() && open->second.wrote);
+    const Transaction *transaction = transactionOf(job);
+    return !job->statement.inTransaction || (transaction != nullptr && transaction->wrote);
 }
 
 void GroupRunner::closeStaleIdle(Instant since)
@@ -373,7 +373,7 @@
         if (transaction.server == id && !transaction.job)
             ended.push_back(origin);
     for (const Origin &origin : ended)
-        removeTransaction(origin, true);
+        removeTransaction(origin);
     if (GroupServer *server = find(id))
         server->closeAll();
 }
@@ -383,6 +383,13 @@
 void GroupRunner::run(inner::LinkId origin, inner::RunStatement statement,
                       session::DoneCallback callback)
 {
+    // A begin shows that the session's entry has given up every earlier transaction of it.
+    if (statement.begins != inner::TransactionMode::None) {
+        const Origin session {origin, statement.session};
+        if (replaceCopy(session, statement, callback))
+            return;
+        rollBack(session, statement.requestId - 1);
+    }
     const Instant now = parts_.timers.now();
     auto job = std::make_shared<Job>();
     job->statement = std::move(statement);
@@ -460,6 +467,8 @@
 
 void GroupRunner::enqueue(const JobPtr &job)
 {
+    if (job->statement.begins != inner::TransactionMode::None)
+        begins_[job->origin] = job;
     queue_.push_back(job);
 }
 
@@ -620,8 +629,8 @@
         return false;
     // 3. An open transaction stays on its connection.
     if (continuesTransaction(job->statement)) {
-        const auto open = transactions_.find(job->origin);
-        if (open == transactions_.end()) {
+        Transaction *transaction = transactionOf(job);
+        if (transaction == nullptr) {
             parts_.timers.subscribeAt(now, [this, alive = alive_, job] {
                 if (*alive)
                     refuse(job, Reason::TransactionEnded, Executed::No,
@@ -629,7 +638,7 @@
             });
             return true;
         }
-        return startInTransaction(job, open->second);
+        return startInTransaction(job, *transaction);
     }
     // 4. Otherwise select a server with a free slot, and a connection to it.
     GroupServer *server = chooseServer(job, now);
@@ -661,7 +670,7 @@
     if (needsConfirmation(job) && !commits_.maySend(parts_.timers.now()))
         return false;
     if (server == nullptr || !transaction.connection->connection->isOpen()) {
-        removeTransaction(job->origin, true);
+        removeTransactionOf(job);
         parts_.timers.subscribeAt(parts_.timers.now(), [this, alive = alive_, job] {
             if (*alive)
                 refuse(job, Reason::TransactionEnded, Executed::No,
@@ -710,9 +719,7 @@
     // 1. The statement was never sent.
     if (!job->running) {
         queue_.remove(job);
-        const auto open = transactions_.find(job->origin);
-        if (open != transactions_.end() && open->second.job == job)
-            removeTransaction(job->origin, true);
+        removeTransactionOf(job);
         const bool hasPrimary = !failoverController_.primary().empty();
         if (job->waitsForSlot) {
             overload_.onRefused();
--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -154,6 +154,8 @@
     bool usesFairQueuing(const OrganisationName &organisation) const;
     bool takeQuota(const JobPtr &job);
     void refuseForQuota(const JobPtr &job);
+    bool replaceCopy(const Origin &origin, const inner::RunStatement &statement,
+                     session::DoneCallback &callback);
     void enqueue(const JobPtr &job);
     void sortQueue(Instant now);
     decision::WaitState waitState(const JobPtr &job) const;
@@ -195,7 +197,10 @@
     void onDeadline(const JobPtr &job);
     void rollBack(const Origin &origin, inner::RequestId maxBeginRequest);
     void cancelBegin(const Origin &origin, inner::RequestId maxBeginRequest);
-    void removeTransaction(const Origin &origin, bool close);
+    void removeTransaction(const Origin &origin);
+    void removeTransactionOf(const JobPtr &job);
+    const Transaction *transactionOf(const JobPtr &job) const;
+    Transaction *transactionOf(const JobPtr &job);
     void closeServer(const ServerName &id);
     void removeUnlisted();
     void pollMissingServers();
@@ -234,6 +239,9 @@
         inner::StatementDone done;
     };
     std::deque<Unverified> unverified_;
+    // A session has at most one transaction, which is in begins_ until it is open: its first
+    // statement is queued, or its begin is running.
+    std::map<Origin, JobPtr> begins_;
     std::map<Origin, Transaction> transactions_;
     // When the current primary was adopted.
     Instant primarySince_ {};
--- a/src/group/grouprunnerexecution.cpp
+++ b/src/group/grouprunnerexecution.cpp
@@ -115,6 +115,7 @@
     transaction.readOnly = job->statement.begins == inner::TransactionMode::ReadOnly;
     transaction.beginRequestId = job->statement.requestId;
     transaction.job = job;
+    begins_.erase(job->origin);
     transactions_[job->origin] = std::move(transaction);
     sendStatement(job);
 }
@@ -131,7 +132,7 @@
     }
     // The statement was already answered, at its deadline or because its caller left.
     if (job->done) {
-        removeTransaction(job->origin, true);
+        removeTransactionOf(job);
         return release(job, false);
     }
     if (result.results.size() < expected)
@@ -184,8 +185,8 @@
     inner::StatementDone done;
     // An answer received after the lease ended, or after the server ceased to be the primary, may
     // come from a replaced primary, whose commit its successor does not have.
-    const auto transaction = transactions_.find(job->origin);
-    const bool onlyRead = transaction != transactions_.end() && transaction->second.readOnly;
+    Transaction *transaction = transactionOf(job);
+    const bool onlyRead = transaction != nullptr && transaction->readOnly;
     const bool hasLease = parts_.ownership.hasLease(group_);
     const bool notPrimary = !onlyRead && job->server != failoverController_.primary();
     if (isCommit && (!hasLease || notPrimary)) {
@@ -194,8 +195,7 @@
         done.detail = hasLease ? "the server ceased to be the primary before the answer arrived"
                                : "the owner's lease ended before the answer arrived";
         release(job, false);
-        if (job->statement.inTransaction)
-            removeTransaction(job->origin, true);
+        removeTransactionOf(job);
         return finish(job, std::move(done));
     }
     done.executed = Executed::Yes;
@@ -208,14 +208,13 @@
             failoverController_.onAcknowledged(*result.position, countConcurrentCommits(job));
     }
     if (job->statement.inTransaction) {
-        const auto open = transactions_.find(job->origin);
         const bool ended = job->statement.verb == inner::SessionVerb::Commit;
-        if (open != transactions_.end()) {
-            open->second.job = nullptr;
-            open->second.wrote =
-                open->second.wrote || job->statement.verb == inner::SessionVerb::Write;
+        if (transaction != nullptr) {
+            transaction->job = nullptr;
+            transaction->wrote =
+                transaction->wrote || job->statement.verb == inner::SessionVerb::Write;
         }
-        if (ended)
+        if (transaction != nullptr && ended)
             transactions_.erase(job->origin);
         release(job, ended && result.idle);
     } else {
@@ -234,8 +233,7 @@
     statement.commit = job->statement.verb == inner::SessionVerb::Commit;
     statement.autocommit = !job->statement.inTransaction;
     statement.begins = job->statement.begins != inner::TransactionMode::None;
-    statement.inTransaction =
-        continuesTransaction(job->statement) || transactions_.count(job->origin) != 0;
+    statement.inTransaction = continuesTransaction(job->statement) || transactionOf(job) != nullptr;
     statement.attempts = job->attempts;
     return statement;
 }
@@ -277,7 +275,7 @@
         // Frees the slot in any case.
         release(job, false);
         if (retryDecision.endsTransaction)
-            removeTransaction(job->origin, true);
+            removeTransactionOf(job);
         // The transaction is already open, so a retry sends only the statement.
         if (retryDecision.sendAgain)
             job->statement.begins = inner::TransactionMode::None;
@@ -303,7 +301,7 @@
     if (session::commits(job->statement))
         untrackedCommitsAt_ = parts_.timers.now();
     release(job, false);
-    removeTransaction(job->origin, true);
+    removeTransactionOf(job);
     onConnectionFailure(server, ConnectOutcome::Failed);
     if (retryDecision.sendAgain)
         job->failedServers.insert(server);
@@ -371,6 +369,9 @@
     if (job->done)
         return;
     job->done = true;
+    const auto begin = begins_.find(job->origin);
+    if (begin != begins_.end() && begin->second == job)
+        begins_.erase(begin);
     parts_.timers.cancel(job->timer);
     if (job->quota == Job::Quota::Taken && job->attempts == 0)
         parts_.quotas.giveBack(job->statement.organisation);
--- a/src/session/statementrules.h
+++ b/src/session/statementrules.h
@@ -52,4 +52,12 @@
     return isSingleRead(statement);
 }
 
+// Whether both are one statement of one session that its entry has sent under two numbers.
+inline bool isCopy(const inner::RunStatement &a, const inner::RunStatement &b)
+{
+    return a.session == b.session && a.statementId == b.statementId && a.verb == b.verb
+        && a.begins == b.begins && a.text == b.text && a.preparedShape == b.preparedShape
+        && a.arguments == b.arguments && a.values == b.values && a.organisation == b.organisation;
+}
+
 } // namespace kelptally::session
--- a/tests/host/modelcluster.cpp
+++ b/tests/host/modelcluster.cpp
@@ -2,6 +2,8 @@
 
 #include "core/hosttimers.h"
 
+#include <prometheus/counter.h>
+
 namespace kelptally::model {
 
 namespace {
@@ -276,8 +278,12 @@
         host.cluster.deliverOrDelay(link, [target, link, message = std::move(message)] {
             target->timers.subscribeAfter(linkDelay, [target, link, message] {
                 const bool lost = target->cluster.silentLinks.count(link) != 0;
-                if (!lost && target->links->openLinks.count(link) != 0)
-                    target->links->events.onPeerMessage(link, message);
+                if (lost || target->links->openLinks.count(link) == 0)
+                    return;
+                const auto *answer = std::get_if<inner::StatementDone>(&message);
+                if (answer != nullptr && target->cluster.onAnswer)
+                    target->cluster.onAnswer(target->index, *answer);
+                target->links->events.onPeerMessage(link, message);
             });
         });
         return absl::OkStatus();
@@ -620,6 +626,24 @@
     return hosts[host]->links->linkTo(address(other));
 }
 
+void ModelCluster::sendToOwner(std::size_t host, inner::Message message)
+{
+    static_cast<void>(
+        hosts[host]->links->sendTo(address(std::size_t(owner())), std::move(message)));
+}
+
+int ModelCluster::connectionErrors() const
+{
+    double errors = 0;
+    for (const auto &host : hosts)
+        for (const char *cause : {"busy", "unsigned"})
+            errors +=
+                host->metrics
+                    .counter("kelptally_server_connection_errors_total", "", {{"cause", cause}})
+                    .Value();
+    return int(errors);
+}
+
 bool ModelCluster::isUp(std::size_t host) const
 {
     return hosts[host] && hosts[host]->up;
--- a/tests/host/modelcluster.h
+++ b/tests/host/modelcluster.h
@@ -155,6 +155,15 @@
     // Run the two statements of a transaction with one write.
     OutcomePtr begin(std::size_t host, std::uint64_t session);
     OutcomePtr commit(std::size_t host, std::uint64_t session);
+    // Returns a statement with an id of its own for the tests that act as an entry.
+    inner::RunStatement makeStatement(const std::string &id) { return statement(id); }
+    // Sends a message on the host's link to the group's owner, past the host's own router.
+    void sendToOwner(std::size_t host, inner::Message message);
+    // Called for each answer of another host to a statement, before the receiving host's router.
+    std::function<void(std::size_t host, const inner::StatementDone &)> onAnswer;
+    // Number of connections to servers that the hosts have closed because an answer could have been
+    // taken for that of another command.
+    int connectionErrors() const;
     // Repeats a write at the host until one is acknowledged. Returns the time that took.
     std::optional<Duration> timeToWrite(std::size_t host, Duration limit);
 
