Transactions: a queued begin ends with the links of its entry

The transaction of an entry that had no link for 600 ms was rolled back only if it was open already. A begin that was still queued opened one later, which nobody ended: its connection stayed in the transaction until the owner changed.

--- a/src/group/grouprunner.h
+++ b/src/group/grouprunner.h
@@ -68,7 +68,7 @@
 
     void run(inner::LinkId origin, inner::RunStatement statement, session::DoneCallback callback);
     void endTransaction(inner::LinkId origin, const inner::EndTransaction &end);
-    // Rolls back the open transactions of a disconnected entry.
+    // Rolls back the open transactions of a disconnected entry and cancels those not yet begun.
     void onEntryDisconnected(inner::LinkId origin);
 
     void onPrimaryAdopted(const ServerName &server) override;
--- a/src/group/grouprunnertransactions.cpp
+++ b/src/group/grouprunnertransactions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <utility>
 
 // Rollback and cleanup of transactions.
@@ -154,13 +155,16 @@
 
 void GroupRunner::onEntryDisconnected(inner::LinkId origin)
 {
-    std::vector<Origin> origins;
-    for (const auto &[key, transaction] : transactions_)
-        if (key.first == origin)
-            origins.push_back(key);
+    std::set<Origin> sessions;
+    for (const auto &[session, job] : begins_)
+        if (session.first == origin)
+            sessions.insert(session);
+    for (const auto &[session, transaction] : transactions_)
+        if (session.first == origin)
+            sessions.insert(session);
     constexpr auto all = std::numeric_limits<inner::RequestId>::max();
-    for (const Origin &key : origins)
-        rollBack(key, all);
+    for (const Origin &session : sessions)
+        rollBack(session, all);
 }
 
 } // namespace kelptally::group
--- a/tests/host/statementcopies_test.cpp
+++ b/tests/host/statementcopies_test.cpp
@@ -174,6 +174,34 @@
     checkNothingIsLeft(cluster);
 }
 
+TEST_CASE("A queued begin of an entry that is gone opens no transaction")
+{
+    ModelCluster cluster(303);
+    waitUntilReady(cluster);
+    const std::size_t owner = std::size_t(cluster.owner());
+    Entry entry(cluster);
+    // 1. The begin waits for a primary while the entry is cut off for longer than its links may be
+    // away.
+    cluster.blockPromotions(owner, true);
+    cluster.group.crash(cluster.group.primary());
+    cluster.run(50ms);
+    inner::RunStatement first = entry.makeFirst(7);
+    first.objective = 8s;
+    first.timeLeft = 8s;
+    entry.send(first);
+    cluster.run(10ms);
+    cluster.partitionLinks(hostOtherThan(cluster.owner()), true);
+    cluster.resetLinks();
+    cluster.run(1s);
+    REQUIRE(cluster.owner() == int(owner));
+    // 2. There is a primary again.
+    cluster.blockPromotions(owner, false);
+    REQUIRE(cluster.runUntil(5s, [&] { return cluster.group.promotions == 1; }));
+    cluster.run(500ms);
+    REQUIRE(cluster.owner() == int(owner));
+    CHECK(cluster.group.openTransactionCount() == 0);
+}
+
 namespace {
 
 // A session of the random test: what it has sent, and the numbers for which it awaits an answer.
