Router: a transaction that is given up is ended on the same link

An entry that gave up a transaction because its owner was silent, or because an answer was late, kept the end for the owner until the next link came up.

The end is now sent when the transaction is given up, and the kept ones again when the owner responds. For a first statement that is sent again it follows the newer copy, so that the owner goes on with the one that it runs.

Tests: three new cases of router_test fail before (no end is sent).

--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace kelptally::session {
@@ -109,9 +110,7 @@
     transactions_.erase(found);
     if (address.empty())
         return parts_.local.endTransaction(0, makeEndTransaction(group, session));
-    const inner::EndTransaction end = makeEndTransaction(group, session);
-    static_cast<void>(parts_.links.sendTo(address, end));
-    recordEnd(peers_[address], end);
+    sendEnd(address, makeEndTransaction(group, session));
 }
 
 inner::EndTransaction Router::makeEndTransaction(const GroupName &group,
@@ -120,6 +119,13 @@
     return {group, session, lastSent_};
 }
 
+// Sends the message now, and again on the next link.
+void Router::sendEnd(const std::string &address, const inner::EndTransaction &end)
+{
+    static_cast<void>(parts_.links.sendTo(address, end));
+    recordEnd(peers_[address], end);
+}
+
 // Keeps the message for resending. The owner rolls back by itself if the link stays down.
 void Router::recordEnd(Peer &peer, const inner::EndTransaction &end)
 {
@@ -347,6 +353,9 @@
     peer.silent = false;
     parts_.log.info("owner_responsive").with("peer", address);
     dispatchWaiting();
+    // After the statements that are sent again, which the owner has already: an end would cancel
+    // the copies that are about to be replaced.
+    resendEnds(address, peer);
 }
 
 void Router::onLinkUp(const ProcessId &process)
@@ -370,8 +379,7 @@
     peer.resend = false;
     peer.downSince = Instant();
     const Instant now = parts_.timers.now();
-    for (const auto &[when, end] : peer.recentEnds)
-        static_cast<void>(parts_.links.sendTo(address, end));
+    resendEnds(address, peer);
     std::size_t count = 0;
     for (auto &[id, pending] : pending_) {
         // The peer may have discarded the answer by now; tick() gives the statement up.
@@ -384,6 +392,12 @@
     parts_.log.info("link_resumed").with("peer", address).with("statements", std::uint64_t(count));
 }
 
+void Router::resendEnds(const std::string &address, const Peer &peer)
+{
+    for (const auto &[when, end] : peer.recentEnds)
+        static_cast<void>(parts_.links.sendTo(address, end));
+}
+
 bool Router::mayReconnect(const Peer &peer) const
 {
     return peer.downSince != Instant() && parts_.timers.now() - peer.downSince < resumeTime;
@@ -447,16 +461,20 @@
 void Router::onPeerLost(const std::string &address, const std::string &cause)
 {
     std::vector<inner::RequestId> lost;
-    for (const auto &[id, pending] : pending_)
-        if (pending.address == address)
-            lost.push_back(id);
+    std::set<std::uint64_t> awaiting;
+    for (const auto &[id, pending] : pending_) {
+        if (pending.address != address)
+            continue;
+        lost.push_back(id);
+        awaiting.insert(pending.statement.session);
+    }
     // If the process is still alive, it must not keep these transactions open.
     for (auto location = transactions_.begin(); location != transactions_.end();) {
-        if (location->second.address != address) {
+        if (location->second.address != address || awaiting.count(location->first) != 0) {
             ++location;
             continue;
         }
-        recordEnd(peers_[address], makeEndTransaction(location->second.group, location->first));
+        sendEnd(address, makeEndTransaction(location->second.group, location->first));
         location = transactions_.erase(location);
     }
     for (const inner::RequestId id : lost)
@@ -468,8 +486,16 @@
     Pending &pending = pending_.at(id);
     const GroupName group = pending.statement.group;
     const OwnerRef owner {pending.epoch, {pending.address, 0}};
-    if (pending.statement.inTransaction && transactions_.erase(pending.statement.session) != 0)
-        recordEnd(peers_[pending.address], makeEndTransaction(group, pending.statement.session));
+    const bool isSentAgain = mayRepeat(pending.statement) && pending.attempts < maxAttempts
+        && parts_.timers.now() < pending.deadline;
+    if (pending.statement.inTransaction && transactions_.erase(pending.statement.session) != 0) {
+        const inner::EndTransaction end = makeEndTransaction(group, pending.statement.session);
+        // The owner runs a copy that it has until the next one replaces it.
+        if (isSentAgain)
+            recordEnd(peers_[pending.address], end);
+        else
+            sendEnd(pending.address, end);
+    }
     pending.unansweredBy = pending.address;
     detachFromPeer(pending);
     parts_.log.info("owner_answer_lost", cause)
--- a/src/session/router.h
+++ b/src/session/router.h
@@ -161,7 +161,9 @@
     void onDone(inner::StatementDone done);
     // Returns the message that ends every transaction the session has begun so far.
     inner::EndTransaction makeEndTransaction(const GroupName &group, std::uint64_t session) const;
+    void sendEnd(const std::string &address, const inner::EndTransaction &end);
     void recordEnd(Peer &peer, const inner::EndTransaction &end);
+    void resendEnds(const std::string &address, const Peer &peer);
     void resumeLink(const std::string &address, Peer &peer);
     // Whether the link was lost so recently that it is likely to come back.
     bool mayReconnect(const Peer &peer) const;
--- a/tests/session/router_test.cpp
+++ b/tests/session/router_test.cpp
@@ -35,6 +35,8 @@
             return absl::UnavailableError("no link");
         if (const auto *statement = std::get_if<inner::RunStatement>(&message))
             statements.push_back(*statement);
+        if (const auto *end = std::get_if<inner::EndTransaction>(&message))
+            ends.push_back({end->beginRequestId, statements.size()});
         return absl::OkStatus();
     }
     absl::Status sendOn(inner::LinkId, inner::Message message) override
@@ -47,6 +49,13 @@
     int renewals = 0;
     int cancelledRenewals = 0;
     std::vector<inner::RunStatement> statements;
+    // The ends sent, with the number of statements sent before each.
+    struct End
+    {
+        inner::RequestId upTo = 0;
+        std::size_t statementsBefore = 0;
+    };
+    std::vector<End> ends;
 };
 
 struct FakeOwners : public OwnerSource
@@ -107,6 +116,22 @@
                           [this](const inner::StatementDone &done) { results.push_back(done); });
     }
 
+    // Runs the first statement of a transaction, or a later one.
+    inner::RequestId runInTransaction(bool isFirst, Duration timeLeft)
+    {
+        inner::RunStatement statement;
+        statement.group = "cases";
+        statement.session = 7;
+        statement.inTransaction = true;
+        if (isFirst)
+            statement.begins = inner::TransactionMode::ReadWrite;
+        statement.verb = inner::SessionVerb::Read;
+        statement.timeLeft = timeLeft;
+        statement.objective = 200ms;
+        return router.run(statement,
+                          [this](const inner::StatementDone &done) { results.push_back(done); });
+    }
+
     // Answers the statement sent last.
     void answerLast()
     {
@@ -234,3 +259,61 @@
     REQUIRE(fixture.links.statements.size() == 2);
     CHECK(fixture.links.statements[1].requestId != fixture.links.statements[0].requestId);
 }
+
+// The owner of an abandoned transaction may stand still without losing its link.
+TEST_CASE("The end of a transaction reaches an owner that was silent on the same link")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    fixture.runInTransaction(true, 800ms);
+    fixture.answerLast();
+    fixture.timers.advance(1ms);
+    REQUIRE(fixture.results.size() == 1);
+    SECTION("with a statement on its way")
+    {
+        fixture.runInTransaction(false, 800ms);
+    }
+    SECTION("between two statements")
+    {
+        fixture.write(800ms);
+    }
+    fixture.timers.advance(600ms);
+    REQUIRE(fixture.results.size() == 2);
+    REQUIRE(fixture.links.ends.size() == 1);
+    CHECK(fixture.links.ends[0].upTo == fixture.links.statements.back().requestId);
+}
+
+// An end before the copy would make the owner abandon the one that it runs.
+TEST_CASE("A first statement that is sent again is not ended before its copy")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    fixture.runInTransaction(true, 2000ms);
+    fixture.timers.advance(600ms);
+    CHECK(fixture.links.ends.empty());
+    fixture.router.onPeerResponse(ownerProcess.address);
+    REQUIRE(fixture.links.statements.size() == 2);
+    REQUIRE(fixture.links.ends.size() == 1);
+    CHECK(fixture.links.ends[0].upTo == fixture.links.statements[0].requestId);
+    CHECK(fixture.links.ends[0].statementsBefore == 2);
+    CHECK(fixture.links.statements[1].requestId > fixture.links.ends[0].upTo);
+}
+
+TEST_CASE("A transaction whose statement is not answered in time is ended at its owner")
+{
+    RouterFixture fixture;
+    fixture.router.onLinkUp(ownerProcess);
+    const bool isFirst = GENERATE(true, false);
+    CAPTURE(isFirst);
+    if (!isFirst) {
+        fixture.runInTransaction(true, 800ms);
+        fixture.answerLast();
+    }
+    fixture.runInTransaction(isFirst, 800ms);
+    for (int i = 0; i < 20; ++i) {
+        fixture.timers.advance(100ms);
+        fixture.router.onPeerResponse(ownerProcess.address);
+    }
+    REQUIRE(fixture.links.ends.size() == 1);
+    CHECK(fixture.links.ends[0].upTo == fixture.links.statements.back().requestId);
+}
