Tests: a soak of statements whose answers are checked, with real processes

Servers answer as a function of the statement, the session and its value, and check that each statement runs in its own session and transaction; sessions compare each answer, and after the end no transaction may be open.

A host under test no longer inherits the connections of the test process: with restarts, a session that the test had closed stayed open.

No functional change

--- /dev/null
+++ b/tests/platform/checkinggroup.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/dutythread.h"
+#include "platform/wire.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kelptally::platform {
+
+// Returns the row and the signature that a server sends for a statement of a session. Each session
+// sets its value "tag" and names its statements SESSION-OPERATION-NUMBER.
+std::string expectedRow(const std::string &id, const std::string &item, const std::string &tag);
+std::string expectedSignature(const std::string &id, const std::string &tag,
+                              const std::string &shape);
+
+// A group of fake database servers whose answers depend on the statement and the session, and which
+// check that each statement runs in its own session and transaction. Its replicas have no lag. The
+// servers run on the given thread, which must outlive them; all functions but the constructor and
+// the destructor are callable from any thread.
+class CheckingGroup
+{
+public:
+    struct Options
+    {
+        int servers = 3;
+        // Statements that one server runs at a time; further ones are refused as busy.
+        int slots = 3;
+        Duration minWork {std::chrono::milliseconds(3)};
+        Duration maxWork {std::chrono::milliseconds(30)};
+        std::uint64_t seed = 1;
+    };
+
+    CheckingGroup(DutyThread &thread, const Options &options);
+    ~CheckingGroup();
+
+    // Returns the entry of the server's registration, as the platform's store has it.
+    std::string entryOf(int server) const;
+
+    // Returns the statements of a committed transaction before its commit, or nothing.
+    std::vector<std::string> statementsOf(const std::string &commit) const;
+    int commits() const;
+    // Returns the operations whose transactions are open.
+    std::vector<std::string> openTransactions() const;
+    std::vector<std::string> violations() const;
+
+private:
+    struct Server;
+    struct Connection;
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void accept(Server &server);
+    void read(const ConnectionPtr &connection);
+    void runNext(const ConnectionPtr &connection);
+    void answer(const ConnectionPtr &connection, const std::string &text);
+    std::string execute(Connection &connection, const std::string &id, const std::string &text);
+    std::string runStatement(Connection &connection, const std::string &id,
+                             const std::string &text);
+    void checkPlace(Connection &connection, const std::string &id);
+    std::string complete(const Connection &connection, const std::string &signature) const;
+    std::string refuse(const Connection &connection, const std::string &code) const;
+    void addViolation(const std::string &what);
+
+    DutyThread &thread_;
+    const Options options_;
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<Server>> servers_;
+    std::uint64_t position_ = 0;
+    mutable std::mutex mutex_;
+    std::map<std::string, std::vector<std::string>> committed_;
+    std::set<std::string> written_;
+    std::vector<std::weak_ptr<Connection>> connections_;
+    std::vector<std::string> violations_;
+};
+
+} // namespace kelptally::platform
--- /dev/null
+++ b/tests/platform/statementsoak.cpp
@@ -0,0 +1,459 @@
+#include "statementsoak.h"
+
+#include "checkinggroup.h"
+#include "fakeplatform.h"
+#include "storepath.h"
+#include "testhost.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <mutex>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace kelptally::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration readyLimit = 60s;
+constexpr Duration reconnectDelay = 50ms;
+constexpr Duration driverPeriod = 10ms;
+// Exceeds the time limit of a statement and the disturbances that may come one after another.
+constexpr Duration answerLimit = 10s;
+// Time in which the transaction of a session that has ended is rolled back.
+constexpr Duration abandonedLimit = 5s;
+// An outage of the store, and the times in it at which hosts stand still.
+constexpr Duration outageLength = 4200ms;
+constexpr std::array<Duration, 3> freezeTimes = {600ms, 2000ms, 3200ms};
+constexpr std::array<Duration, 3> freezeLengths = {480ms, 610ms, 1100ms};
+constexpr Duration outagePause = 3500ms;
+
+constexpr char configuration[] = R"({"version":1,"routes":[
+    {"name":"r1","database":"main","type":"primary","timeoutMs":2000,"targetLatencyMs":200,
+     "priority":1,"service":"cases"},
+    {"name":"r2","database":"own","type":"read_own","maxStalenessMs":2500,"timeoutMs":2000,
+     "targetLatencyMs":250,"priority":2,"service":"cases"}],
+    "services":[{"name":"cases","maxConns":24,"syncReplicas":0}],"limits":{}})";
+
+// What the sessions have seen.
+class Record
+{
+public:
+    void addViolation(const std::string &what)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        violations_.push_back(what);
+    }
+    std::vector<std::string> violations() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return violations_;
+    }
+
+    std::atomic<int> served {0};
+    std::atomic<int> refused {0};
+    std::atomic<bool> isOver {false};
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<std::string> violations_;
+};
+
+// One caller on a thread of its own, whose sessions follow each other on one host.
+class SoakCaller
+{
+public:
+    SoakCaller(Record &record, const CheckingGroup &group, const TestHost &host, int number,
+               std::uint64_t seed, Duration maxPause)
+        : record_(record), group_(group), host_(host), number_(number), maxPause_(maxPause),
+          random_(seed), thread_([this] { run(); })
+    { }
+    ~SoakCaller() { thread_.join(); }
+
+    bool isDone() const { return isDone_; }
+
+private:
+    std::size_t draw(std::size_t count) { return random_() % count; }
+
+    void run()
+    {
+        while (!record_.isOver) {
+            try {
+                Caller caller(host_.callerPort());
+                runSession(caller);
+            } catch (const boost::system::system_error &) {
+                std::this_thread::sleep_for(reconnectDelay);
+            }
+        }
+        isDone_ = true;
+    }
+
+    void runSession(Caller &caller)
+    {
+        session_ = "s" + std::to_string(number_) + "x" + std::to_string(++sessions_);
+        tag_ = "tag" + session_;
+        readOnly_ = number_ % 2 == 1;
+        const bool isOpen =
+            caller.query(readOnly_ ? "START own test" : "START main test").rfind("READY", 0) == 0
+            && isComplete(caller, "SET tag " + tag_) && isComplete(caller, "PREPARE p READ shape1")
+            && isComplete(caller, "PREPARE w WRITE shape2");
+        if (!isOpen)
+            return std::this_thread::sleep_for(reconnectDelay);
+        const std::size_t operations = 5 + draw(40);
+        for (std::size_t i = 0; i < operations && !record_.isOver; ++i) {
+            ++operation_;
+            const bool goesOn = draw(5) < 3 ? runTransaction(caller) : runSingle(caller);
+            if (!goesOn)
+                return;
+            std::this_thread::sleep_for(
+                Duration(std::int64_t(draw(std::size_t(maxPause_.count())))));
+        }
+    }
+
+    bool isComplete(Caller &caller, const std::string &text)
+    {
+        return caller.query("QUERY 0 " + text).rfind("COMPLETE -|READY", 0) == 0;
+    }
+
+    enum class Outcome {
+        Served,
+        Refused,
+        // The session's connection has ended.
+        Closed,
+    };
+
+    // Runs a read or a write, and checks that its answer is its own.
+    Outcome runStatement(Caller &caller, const std::string &id, bool writes)
+    {
+        const std::string item = "k" + std::to_string(draw(50));
+        const bool isPrepared = draw(2) == 0;
+        const std::string shape = !isPrepared ? "" : writes ? "shape2" : "shape1";
+        std::string text =
+            isPrepared ? (writes ? "EXECUTE w " : "EXECUTE p ") : (writes ? "WRITE " : "READ ");
+        text += item + (writes ? " data" : "");
+        const std::string row = writes ? "" : "DATAROW " + expectedRow(id, item, tag_) + "|";
+        return check(caller, id, text,
+                     row + "COMPLETE " + expectedSignature(id, tag_, shape) + "|READY ");
+    }
+
+    Outcome check(Caller &caller, const std::string &id, const std::string &text,
+                  const std::string &expected)
+    {
+        const Instant sent = BootClock::now();
+        const std::string answer = caller.query("QUERY " + id + " " + text);
+        if (BootClock::now() - sent > answerLimit)
+            record_.addViolation(id + " had no answer for too long");
+        if (answer.find("closed") != std::string::npos)
+            return Outcome::Closed;
+        if (answer.rfind("ERROR ", 0) == 0) {
+            ++record_.refused;
+            return Outcome::Refused;
+        }
+        ++record_.served;
+        if (answer.rfind(expected, 0) != 0)
+            record_.addViolation(id + " " + text + " got " + answer);
+        return Outcome::Served;
+    }
+
+    bool runSingle(Caller &caller)
+    {
+        const std::string id = session_ + "-o" + std::to_string(operation_) + "-0";
+        return runStatement(caller, id, !readOnly_ && draw(3) == 0) != Outcome::Closed;
+    }
+
+    // Returns false if the session has ended.
+    bool runTransaction(Caller &caller)
+    {
+        const std::string name = session_ + "-t" + std::to_string(operation_) + "-";
+        const bool onlyReads = readOnly_ || draw(4) == 0;
+        if (!isComplete(caller, onlyReads ? "BEGIN READ" : "BEGIN"))
+            return false;
+        std::vector<std::string> served;
+        const std::size_t count = 1 + draw(5);
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string id = name + std::to_string(i);
+            const Outcome outcome = runStatement(caller, id, !onlyReads && draw(2) == 0);
+            if (outcome == Outcome::Closed)
+                return false;
+            if (outcome == Outcome::Refused)
+                return isComplete(caller, "ROLLBACK");
+            served.push_back(id);
+            // Some callers leave within a transaction.
+            if (draw(60) == 0)
+                return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(draw(10)));
+        }
+        if (draw(6) == 0)
+            return isComplete(caller, "ROLLBACK");
+        const std::string id = name + "c";
+        const Outcome outcome =
+            check(caller, id, "COMMIT", "COMPLETE " + expectedSignature(id, tag_, "") + "|READY I");
+        if (outcome == Outcome::Served && group_.statementsOf(id) != served)
+            record_.addViolation(id + " committed other statements");
+        return outcome != Outcome::Closed;
+    }
+
+    Record &record_;
+    const CheckingGroup &group_;
+    const TestHost &host_;
+    const int number_;
+    const Duration maxPause_;
+    std::mt19937_64 random_;
+    int sessions_ = 0;
+    int operation_ = 0;
+    bool readOnly_ = false;
+    std::string session_;
+    std::string tag_;
+    std::atomic<bool> isDone_ {false};
+    std::thread thread_;
+};
+
+class StatementSoak
+{
+public:
+    explicit StatementSoak(const StatementSoakPlan &plan)
+        : plan_(plan), random_(plan.seed), group_(groupThread_, groupOptions(plan))
+    {
+        groupThread_.start();
+        storeThread_.start();
+        store_.put("op", "config", configuration);
+        for (int i = 0; i < servers; ++i)
+            store_.put("servers", "i-" + std::to_string(i), group_.entryOf(i));
+        for (int i = 0; i < plan.hosts; ++i) {
+            paths_.push_back(std::make_unique<StorePath>(storeThread_, store_.port(), 0));
+            TestHostOptions options;
+            options.name = "host-" + std::to_string(i);
+            options.zone = "z" + std::to_string(i % servers);
+            options.processors = "0.5";
+            options.storePort = paths_.back()->port();
+            options.folder = plan.folder;
+            options.program = plan.program;
+            hosts_.push_back(std::make_unique<TestHost>(options));
+            hosts_.back()->start();
+        }
+    }
+
+    ~StatementSoak()
+    {
+        for (const auto &host : hosts_)
+            host->kill();
+        callers_.clear();
+        storeThread_.stop();
+        groupThread_.stop();
+    }
+
+    StatementSoakResult run()
+    {
+        awaitReady();
+        for (int i = 0; i < plan_.hosts * plan_.sessionsPerHost; ++i)
+            callers_.push_back(std::make_unique<SoakCaller>(record_, group_,
+                                                            *hosts_[std::size_t(i % plan_.hosts)],
+                                                            i, random_(), plan_.maxPause));
+        const Instant end = BootClock::now() + plan_.length;
+        runUntil(BootClock::now() + 2s);
+        while (BootClock::now() < end) {
+            scheduleRound();
+            runUntil(BootClock::now() + outageLength + outagePause);
+        }
+        runUntil(Instant::max());
+        record_.isOver = true;
+        awaitCallers();
+        checkTransactionsEnd();
+        checkConnections();
+        StatementSoakResult result;
+        result.served = record_.served;
+        result.refused = record_.refused;
+        result.commits = group_.commits();
+        result.disturbances = disturbances_;
+        result.violations = record_.violations();
+        const std::vector<std::string> atServers = group_.violations();
+        result.violations.insert(result.violations.end(), atServers.begin(), atServers.end());
+        return result;
+    }
+
+private:
+    static constexpr int servers = 3;
+
+    static CheckingGroup::Options groupOptions(const StatementSoakPlan &plan)
+    {
+        CheckingGroup::Options options;
+        options.servers = servers;
+        options.slots = plan.slots;
+        options.seed = plan.seed;
+        return options;
+    }
+
+    std::size_t draw(std::size_t count) { return random_() % count; }
+
+    void awaitReady()
+    {
+        const Instant limit = BootClock::now() + readyLimit;
+        const auto isReady = [](const auto &host) { return host->isReady(); };
+        const auto isOwner = [](const auto &host) { return host->ownsGroup(); };
+        while (!std::all_of(hosts_.begin(), hosts_.end(), isReady)
+               || !std::any_of(hosts_.begin(), hosts_.end(), isOwner)) {
+            if (BootClock::now() >= limit)
+                throw std::runtime_error("the hosts don't become ready");
+            for (const auto &host : hosts_)
+                host->openSession("main");
+            std::this_thread::sleep_for(100ms);
+        }
+    }
+
+    void awaitCallers()
+    {
+        const Instant limit = BootClock::now() + answerLimit;
+        const auto isDone = [](const auto &caller) { return caller->isDone(); };
+        while (!std::all_of(callers_.begin(), callers_.end(), isDone)) {
+            if (BootClock::now() >= limit) {
+                record_.addViolation("a session has had no answer until the end");
+                return;
+            }
+            std::this_thread::sleep_for(driverPeriod);
+        }
+    }
+
+    // No session is left, so that every transaction must be ended soon.
+    void checkTransactionsEnd()
+    {
+        const Instant limit = BootClock::now() + abandonedLimit;
+        while (!group_.openTransactions().empty() && BootClock::now() < limit)
+            std::this_thread::sleep_for(driverPeriod);
+        for (const std::string &operation : group_.openTransactions())
+            record_.addViolation("the transaction " + operation + " is still open");
+    }
+
+    // Hosts close a connection on which an answer could be taken for that of another statement.
+    void checkConnections()
+    {
+        for (const auto &host : hosts_)
+            for (const std::string cause : {"busy", "unsigned"})
+                if (host->metric("kelptally_server_connection_errors_total{cause=\"" + cause
+                                 + "\"}")
+                    > 0)
+                    record_.addViolation(host->name() + " closed a connection as " + cause);
+    }
+
+    void schedule(Duration delay, std::function<void()> action)
+    {
+        actions_.emplace(BootClock::now() + delay, std::move(action));
+    }
+
+    // Runs the scheduled actions up to the given time, or all of them for Instant::max().
+    void runUntil(Instant end)
+    {
+        while (end == Instant::max() ? !actions_.empty() : BootClock::now() < end) {
+            while (!actions_.empty() && actions_.begin()->first <= BootClock::now()) {
+                const std::function<void()> action = std::move(actions_.begin()->second);
+                actions_.erase(actions_.begin());
+                action();
+            }
+            std::this_thread::sleep_for(driverPeriod);
+        }
+    }
+
+    // An outage of the store in which hosts stand still, in series and overlapping. No other host
+    // can take the group meanwhile.
+    void scheduleRound()
+    {
+        std::vector<std::size_t> owners;
+        for (std::size_t i = 0; i < hosts_.size(); ++i)
+            if (hosts_[i]->ownsGroup())
+                owners.push_back(i);
+        const bool isSilent = plan_.silencesStore && (!plan_.refusesStore || draw(2) == 0);
+        if (plan_.refusesStore || plan_.silencesStore) {
+            ++disturbances_;
+            for (const auto &path : paths_)
+                isSilent ? path->cut() : path->refuse();
+            schedule(outageLength, [this] {
+                for (const auto &path : paths_)
+                    path->heal();
+            });
+        }
+        for (const Duration time : freezeTimes) {
+            if (plan_.freezesOwners)
+                for (const std::size_t owner : owners)
+                    freeze(owner, time);
+            if (plan_.freezesEntries && draw(2) == 0)
+                freeze(draw(hosts_.size()), time + std::chrono::milliseconds(draw(600)));
+        }
+        if (plan_.restarts && draw(2) == 0)
+            restart(draw(hosts_.size()), std::chrono::milliseconds(draw(7000)));
+    }
+
+    void freeze(std::size_t host, Duration delay)
+    {
+        ++disturbances_;
+        const Duration length = freezeLengths[draw(freezeLengths.size())];
+        schedule(delay, [this, host] {
+            ++frozen_[host];
+            hosts_[host]->signal(SIGSTOP);
+        });
+        // Overlapping stops end with the last one.
+        schedule(delay + length, [this, host] {
+            if (--frozen_[host] == 0)
+                hosts_[host]->signal(SIGCONT);
+        });
+    }
+
+    void restart(std::size_t host, Duration delay)
+    {
+        ++disturbances_;
+        const bool isPlanned = draw(2) == 0;
+        schedule(delay, [this, host, isPlanned] {
+            if (isPlanned)
+                hosts_[host]->signal(SIGTERM);
+            else
+                hosts_[host]->kill();
+            schedule(100ms, [this, host] { startAgain(host); });
+        });
+    }
+
+    void startAgain(std::size_t host)
+    {
+        if (hosts_[host]->isRunning())
+            return schedule(100ms, [this, host] { startAgain(host); });
+        hosts_[host]->start();
+    }
+
+    const StatementSoakPlan plan_;
+    std::mt19937_64 random_;
+    DutyThread groupThread_ {"group"};
+    DutyThread storeThread_ {"store"};
+    CheckingGroup group_;
+    FakeStore store_ {storeThread_};
+    std::vector<std::unique_ptr<StorePath>> paths_;
+    std::vector<std::unique_ptr<TestHost>> hosts_;
+    Record record_;
+    std::multimap<Instant, std::function<void()>> actions_;
+    std::map<std::size_t, int> frozen_;
+    int disturbances_ = 0;
+    std::vector<std::unique_ptr<SoakCaller>> callers_;
+};
+
+} // namespace
+
+StatementSoakResult runStatementSoak(const StatementSoakPlan &plan)
+{
+    return StatementSoak(plan).run();
+}
+
+std::string describe(const StatementSoakResult &result)
+{
+    constexpr std::size_t maxViolations = 10;
+    std::ostringstream text;
+    text << result.served << " statements served, " << result.refused << " refused, "
+         << result.commits << " commits, " << result.disturbances << " disturbances, "
+         << result.violations.size() << " violations";
+    for (std::size_t i = 0; i < std::min(maxViolations, result.violations.size()); ++i)
+        text << "\n  " << result.violations[i];
+    return text.str();
+}
+
+} // namespace kelptally::platform
--- /dev/null
+++ b/tests/platform/statementsoak.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace kelptally::platform {
+
+// A deployment of kelptallyd processes that stand still, lose the store, are stopped and killed,
+// while sessions run statements and transactions on few slots.
+struct StatementSoakPlan
+{
+    std::uint64_t seed = 1;
+    int hosts = 4;
+    int sessionsPerHost = 24;
+    // Longest pause between two operations of a session.
+    Duration maxPause {std::chrono::milliseconds(500)};
+    int slots = 3;
+    Duration length {std::chrono::seconds(30)};
+    // Owners that stand still.
+    bool freezesOwners = true;
+    // Any hosts that stand still.
+    bool freezesEntries = true;
+    // Whether the store refuses connections, or is silent, while hosts stand still.
+    bool refusesStore = true;
+    bool silencesStore = true;
+    bool restarts = false;
+    // The hosts' settings and logs.
+    std::string folder;
+    // Path of kelptallyd, to compare versions; empty for that of this build.
+    std::string program;
+};
+
+struct StatementSoakResult
+{
+    int served = 0;
+    int refused = 0;
+    int commits = 0;
+    int disturbances = 0;
+    // Answers that are not those of their statements, statements that ran in another session or
+    // transaction, and sessions without an answer.
+    std::vector<std::string> violations;
+};
+
+StatementSoakResult runStatementSoak(const StatementSoakPlan &plan);
+
+// The result as text, with at most ten violations.
+std::string describe(const StatementSoakResult &result);
+
+} // namespace kelptally::platform
--- /dev/null
+++ b/tests/platform/statementsoak_main.cpp
@@ -0,0 +1,61 @@
+// Plays statement soaks with one seed after another and prints the result of each. Exits with 1 if
+// there was a violation, and keeps the folder of each seed that had one.
+
+#include "statementsoak.h"
+
+#include <tclap/CmdLine.h>
+
+#include <filesystem>
+#include <iostream>
+
+using namespace kelptally;
+using namespace kelptally::platform;
+
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine command("Soak of statements with real processes.", ' ', "1");
+    TCLAP::ValueArg<std::uint64_t> first("s", "seed", "First seed", false, 1, "N", command);
+    TCLAP::ValueArg<int> count("n", "count", "Number of seeds", false, 1, "N", command);
+    TCLAP::ValueArg<int> hosts("", "hosts", "Processes", false, 4, "N", command);
+    TCLAP::ValueArg<int> sessions("", "sessions", "Sessions on each host", false, 24, "N", command);
+    TCLAP::ValueArg<int> pause("", "pause", "Longest pause of a session in ms", false, 500, "MS",
+                               command);
+    TCLAP::ValueArg<int> slots("", "slots", "Slots of each server", false, 3, "N", command);
+    TCLAP::ValueArg<int> length("", "length", "Seconds of each seed", false, 30, "S", command);
+    TCLAP::SwitchArg calmOwners("", "no-owners", "Owners don't stand still", command);
+    TCLAP::SwitchArg calmEntries("", "no-entries", "No further hosts stand still", command);
+    TCLAP::SwitchArg noRefusals("", "no-refusals", "The store refuses no connections", command);
+    TCLAP::SwitchArg noSilences("", "no-silences", "The store doesn't go silent", command);
+    TCLAP::SwitchArg restarts("", "restarts", "Processes are killed or stopped", command);
+    TCLAP::ValueArg<std::string> program("", "program", "Another kelptallyd", false, "", "FILE",
+                                         command);
+    TCLAP::UnlabeledValueArg<std::string> folder("folder", "Settings and logs of the hosts", true,
+                                                 "", "FOLDER", command);
+    command.parse(argc, argv);
+    int failed = 0;
+    for (int i = 0; i < count.getValue(); ++i) {
+        StatementSoakPlan plan;
+        plan.seed = first.getValue() + std::uint64_t(i);
+        plan.hosts = hosts.getValue();
+        plan.sessionsPerHost = sessions.getValue();
+        plan.maxPause = std::chrono::milliseconds(pause.getValue());
+        plan.slots = slots.getValue();
+        plan.length = std::chrono::seconds(length.getValue());
+        plan.freezesOwners = !calmOwners.getValue();
+        plan.freezesEntries = !calmEntries.getValue();
+        plan.refusesStore = !noRefusals.getValue();
+        plan.silencesStore = !noSilences.getValue();
+        plan.restarts = restarts.getValue();
+        plan.program = program.getValue();
+        plan.folder = folder.getValue() + "/seed-" + std::to_string(plan.seed);
+        std::filesystem::create_directories(plan.folder);
+        const StatementSoakResult result = runStatementSoak(plan);
+        std::cout << "seed " << plan.seed << ": " << describe(result) << std::endl;
+        if (result.violations.empty())
+            std::filesystem::remove_all(plan.folder);
+        else
+            ++failed;
+    }
+    std::cout << failed << " of " << count.getValue() << " seeds failed" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/platform/statementsoak_test.cpp
@@ -0,0 +1,49 @@
+#include "statementsoak.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <unistd.h>
+
+using namespace kelptally;
+using namespace kelptally::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Runs the plan in a folder of the build tree, which is kept after a failure.
+void checkSoak(StatementSoakPlan plan)
+{
+    plan.folder = std::string(BUILD_DIRECTORY) + "/statement_soak_" + std::to_string(::getpid())
+        + "_" + std::to_string(plan.seed);
+    std::filesystem::create_directories(plan.folder);
+    const StatementSoakResult result = runStatementSoak(plan);
+    INFO("seed " << plan.seed << ", logs in " << plan.folder << ": " << describe(result));
+    CHECK(result.disturbances > 0);
+    CHECK(result.served > 0);
+    CHECK(result.commits > 0);
+    CHECK(result.violations.empty());
+    if (result.violations.empty())
+        std::filesystem::remove_all(plan.folder);
+}
+
+} // namespace
+
+TEST_CASE("Each answer is that of its statement while owners stand still and the store is away")
+{
+    StatementSoakPlan plan;
+    plan.seed = 2;
+    plan.length = 20s;
+    checkSoak(plan);
+}
+
+TEST_CASE("Each answer is that of its statement while hosts are stopped and killed as well")
+{
+    StatementSoakPlan plan;
+    plan.seed = 2;
+    plan.hosts = 6;
+    plan.sessionsPerHost = 16;
+    plan.length = 20s;
+    plan.restarts = true;
+    checkSoak(plan);
+}
--- a/tests/platform/storepath.cpp
+++ b/tests/platform/storepath.cpp
@@ -30,6 +30,13 @@
         toStore.close(ignored);
     }
 
+    void reset()
+    {
+        Error ignored;
+        toHost.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     Tcp::socket toHost;
     Tcp::socket toStore;
     bool isSilent = false;
@@ -68,9 +75,19 @@
     });
 }
 
+void StorePath::refuse()
+{
+    asio::post(thread_.context(), [this] {
+        isRefused_ = true;
+        for (const auto &[id, weak] : connections_)
+            if (const auto connection = weak.lock())
+                connection->reset();
+    });
+}
+
 void StorePath::heal()
 {
-    asio::post(thread_.context(), [this] { isCut_ = false; });
+    asio::post(thread_.context(), [this] { isCut_ = isRefused_ = false; });
 }
 
 void StorePath::silenceOpen()
@@ -89,6 +106,10 @@
         const std::uint64_t id = ++lastConnection_;
         connections_[id] = connection;
         connection->isSilent = isCut_;
+        if (isRefused_) {
+            connection->reset();
+            return accept();
+        }
         Error ignored;
         connection->toHost.set_option(Tcp::no_delay(true), ignored);
         connection->toStore.async_connect(store_, [this, connection](const Error &failed) {
--- a/tests/platform/storepath.h
+++ b/tests/platform/storepath.h
@@ -24,6 +24,8 @@
     // Open connections lose all further bytes, and new ones are opened but carry nothing, until
     // heal(). Connections from the time of the cut stay silent.
     void cut();
+    // Resets open connections and each new one until heal().
+    void refuse();
     void heal();
 
 private:
@@ -40,6 +42,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     const int port_;
     bool isCut_ = false;
+    bool isRefused_ = false;
     std::map<std::uint64_t, std::weak_ptr<Connection>> connections_;
     std::uint64_t lastConnection_ = 0;
 };
--- a/tests/platform/testhost.cpp
+++ b/tests/platform/testhost.cpp
@@ -44,6 +44,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection of this process would stay open with its copy in the host.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const std::lock_guard<std::mutex> lock(mutex_);
     const int failed =
         ::posix_spawn(&process_, arguments[0], &actions, nullptr, arguments, noVariables);
@@ -87,15 +89,15 @@
     }
 }
 
-bool TestHost::ownsGroup() const
+double TestHost::metric(const std::string &series) const
 {
     try {
         const std::string metrics = Caller(adminPort_).get("/metrics");
-        constexpr char name[] = "\nkelptally_groups_owned ";
-        const std::size_t at = metrics.find(name);
-        return at != std::string::npos && std::atof(metrics.c_str() + at + sizeof name - 1) > 0;
+        const std::string line = "\n" + series + " ";
+        const std::size_t at = metrics.find(line);
+        return at == std::string::npos ? 0 : std::atof(metrics.c_str() + at + line.size());
     } catch (const boost::system::system_error &) {
-        return false;
+        return 0;
     }
 }
 
--- a/tests/platform/testhost.h
+++ b/tests/platform/testhost.h
@@ -37,8 +37,10 @@
     void kill();
     bool isRunning();
     bool isReady() const;
-    // Whether it owns a group, as its metrics page says.
-    bool ownsGroup() const;
+    // Returns the value of a series of its metrics page, or 0 if the host doesn't show it.
+    double metric(const std::string &series) const;
+    bool ownsGroup() const { return metric("kelptally_groups_owned") > 0; }
+    int callerPort() const { return callerPort_; }
     const std::string &name() const { return options_.name; }
 
     enum class Session {
