Transactions: a running commit that was given up counts as untracked

A commit that is running when its session's transaction is ended may still be in the primary's log, without an answer. It counted neither as running nor as untracked, so that a position above it counted as acknowledged: if its primary was lost for good, no replica held enough to be promoted, and the group stayed without a primary.

The deadline and the lost connection of a commit were counted already.

--- a/src/group/grouprunnertransactions.cpp
+++ b/src/group/grouprunnertransactions.cpp
@@ -74,6 +74,8 @@
     if (open->second.job) {
         const JobPtr job = open->second.job;
         const bool mayHaveCommitted = job->running && commits(job->statement);
+        if (mayHaveCommitted)
+            untrackedCommitsAt_ = parts_.timers.now();
         if (!job->running)
             queue_.remove(job);
         refuse(job, mayHaveCommitted ? Reason::Unconfirmed : Reason::TransactionEnded,
--- a/tests/host/statementcopies_test.cpp
+++ b/tests/host/statementcopies_test.cpp
@@ -202,6 +202,58 @@
     CHECK(cluster.group.openTransactionCount() == 0);
 }
 
+// The commit is in the primary's log, but never acknowledged. If a position above it counted as
+// acknowledged, no server could be promoted.
+TEST_CASE("A running commit that its session has given up does not count as acknowledged")
+{
+    ModelCluster cluster(304);
+    waitUntilReady(cluster);
+    // Exceeds the time in which commits of earlier owners may be running.
+    cluster.run(5s);
+    const std::size_t owner = std::size_t(cluster.owner());
+    const ServerName primary = cluster.group.primary();
+    REQUIRE(primary == "cases-1");
+    Entry entry(cluster);
+    const inner::RunStatement first = entry.makeFirst(7);
+    REQUIRE(entry.outcome(entry.send(first)) == signatureOf(first));
+    // 1. The write and the commit wait for the replicas, which receive only the write.
+    for (const char *replica : {"cases-2", "cases-3"})
+        cluster.group.servers().at(replica).stalled = true;
+    const auto write = cluster.write(owner);
+    cluster.run(10ms);
+    const inner::RequestId commit = entry.send(entry.make(7, inner::SessionVerb::Commit));
+    cluster.run(10ms);
+    REQUIRE(entry.answerTo(commit) == nullptr);
+    SECTION("by its end")
+    {
+        entry.end(7);
+    }
+    SECTION("by another begin")
+    {
+        entry.send(entry.makeFirst(7));
+    }
+    REQUIRE(entry.outcome(commit) == "unconfirmed");
+    const auto log = cluster.group.servers().at(primary).log;
+    for (const char *replica : {"cases-2", "cases-3"}) {
+        ModelServer &server = cluster.group.servers().at(replica);
+        REQUIRE(server.log.size() + 2 == log.size());
+        server.log.assign(log.begin(), log.end() - 1);
+        server.applied = server.log.size();
+    }
+    cluster.group.restart("cases-2");
+    REQUIRE(cluster.runUntil(100ms, [&] { return write->done; }));
+    REQUIRE(write->result.reason == Reason::None);
+    // 2. The primary is lost for good.
+    cluster.group.destroy(primary);
+    cluster.unlist(primary);
+    for (const char *replica : {"cases-2", "cases-3"})
+        cluster.group.servers().at(replica).stalled = false;
+    CHECK(cluster.runUntil(40s, [&] { return cluster.group.promotions == 1; }));
+    cluster.run(1s);
+    cluster.checkStatementResults();
+    CHECK(cluster.violations.all == std::vector<std::string>());
+}
+
 namespace {
 
 // A session of the random test: what it has sent, and the numbers for which it awaits an answer.
