--- a/src/group/grouprunnerexecution.cpp
+++ b/src/group/grouprunnerexecution.cpp
@@ -36,8 +36,11 @@
     scheduleSilenceCheck();
     parts_.log.line(LogLevel::Debug, "statement_sent")
         .with("id", job->statement.statementId)
+        .with("session", job->statement.session)
+        .with("request", job->statement.requestId)
         .with("group", group_)
         .with("server", server.id())
+        .with("connection", connection->number)
         .with("needs",
               job->requiredPosition ? positionText(*job->requiredPosition) : std::string("-"))
         .with("shown",
@@ -130,6 +133,14 @@
         serviceTimes_.add(job->statement.objective, job->statement.priority, took);
         recordPosition(*server, result.results.back(), job->sentAt);
     }
+    parts_.log.line(LogLevel::Debug, "statement_answered")
+        .with("id", job->statement.statementId)
+        .with("session", job->statement.session)
+        .with("request", job->statement.requestId)
+        .with("server", job->server)
+        .with("connection", job->connection->number)
+        .with("complete", result.results.size() == expected)
+        .with("awaited", !job->done);
     // The statement was already answered, at its deadline or because its caller left.
     if (job->done) {
         removeTransactionOf(job);
--- a/src/group/serverpool.cpp
+++ b/src/group/serverpool.cpp
@@ -129,6 +129,7 @@
     endOpening(organisation);
     auto pooled = std::make_shared<PooledConnection>();
     pooled->connection = connection;
+    pooled->number = ++lastNumber_;
     pooled->organisation = organisation;
     pooled->openedAt = now;
     pooled->answeredAt = now;
--- a/src/group/serverpool.h
+++ b/src/group/serverpool.h
@@ -3,6 +3,7 @@
 #include "decision/connectionchoice.h"
 #include "group/serverinterface.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -18,6 +19,8 @@
 struct PooledConnection
 {
     ServerConnectionPtr connection;
+    // Identifies the connection among those of its pool, for logs.
+    std::uint64_t number = 0;
     // The connection's permanent organisation; empty without organisations.
     OrganisationName organisation;
     std::map<std::string, std::string> values;
@@ -103,6 +106,7 @@
     std::vector<PooledConnectionPtr> &mutableIdle();
 
     const Opener opener_;
+    std::uint64_t lastNumber_ = 0;
     int maxConnections_ = 0;
     bool byOrganisation_ = false;
     decision::OwnerShare ownerShare_;
