--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -486,12 +486,11 @@
     Pending &pending = pending_.at(id);
     const GroupName group = pending.statement.group;
     const OwnerRef owner {pending.epoch, {pending.address, 0}};
-    const bool isSentAgain = mayRepeat(pending.statement) && pending.attempts < maxAttempts
-        && parts_.timers.now() < pending.deadline;
+    const bool isRepeatable = mayRepeat(pending.statement) && pending.attempts < maxAttempts;
     if (pending.statement.inTransaction && transactions_.erase(pending.statement.session) != 0) {
         const inner::EndTransaction end = makeEndTransaction(group, pending.statement.session);
         // The owner runs a copy that it has until the next one replaces it.
-        if (isSentAgain)
+        if (isRepeatable && parts_.timers.now() < pending.deadline)
             recordEnd(peers_[pending.address], end);
         else
             sendEnd(pending.address, end);
@@ -505,7 +504,7 @@
         .with("repeat", mayRepeat(pending.statement));
     if (pending.epoch != 0 && (cause != answerLate || isOwnerSuspect(pending)))
         parts_.owners.reportOwnerUnreachable(group, owner, cause);
-    if (mayRepeat(pending.statement) && pending.attempts < maxAttempts) {
+    if (isRepeatable) {
         parts_.metrics.countRetry(Reason::OwnerUnreachable);
         return awaitOwner(id, pending);
     }
