--- a/tests/host/modelservers.cpp
+++ b/tests/host/modelservers.cpp
@@ -192,10 +192,12 @@
             for (std::size_t i = 0; i < s.applied; ++i)
                 result.rows.push_back(s.log[i].id);
             result.signature = "s" + command.id;
-            if (inTransaction_)
+            if (inTransaction_) {
                 statements_.push_back(result.signature);
-            else
+                ++group_.transactionRuns[command.id];
+            } else {
                 ++group_.readRuns[command.id];
+            }
             return;
         case CommandKind::StopReceiving:
             if (!s.primary && command.term > std::max(s.term, s.stoppedTerm))
--- a/tests/host/statementcopies_test.cpp
+++ b/tests/host/statementcopies_test.cpp
@@ -152,6 +152,31 @@
     checkNothingIsLeft(cluster);
 }
 
+// The servers are at their limit when the owner of a group wakes.
+TEST_CASE("A first statement that is sent again while it runs or is queued runs once")
+{
+    ModelCluster cluster(305);
+    waitUntilReady(cluster);
+    Entry entry(cluster);
+    const inner::RunStatement first = entry.makeFirst(7);
+    entry.send(first);
+    Duration between = 0ms;
+    SECTION("before its begin is answered")
+    {
+        between = 1ms;
+    }
+    SECTION("while it runs")
+    {
+        between = 5ms;
+    }
+    cluster.run(between);
+    const inner::RequestId newer = entry.send(first);
+    CHECK(entry.outcome(newer) == signatureOf(first));
+    CHECK(cluster.group.transactionRuns[first.statementId] == 1);
+    entry.end(7);
+    checkNothingIsLeft(cluster);
+}
+
 TEST_CASE("A begin ends the transaction that its session has given up without an end")
 {
     ModelCluster cluster(302);
