--- a/tests/host/modelservers.h
+++ b/tests/host/modelservers.h
@@ -161,7 +161,7 @@
     std::map<std::string, std::vector<std::string>> statementsByCommit;
     // How often each read outside a transaction has run.
     std::map<std::string, int> readRuns;
-    // How often each statement within a transaction has run, except commits.
+    // How often each statement within a transaction has begun to run, except commits.
     std::map<std::string, int> transactionRuns;
     // Returns the number of connections that are in a transaction.
     int openTransactionCount() const;
