--- a/src/group/checkedconnector.cpp
+++ b/src/group/checkedconnector.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-constexpr char errorsName[] = "kelptally_server_connection_errors_total";
-constexpr char errorsHelp[] =
-    "Connections to servers that were closed because an answer could have "
-    "been taken for that of another command";
+prometheus::Counter &errorCounter(Metrics &metrics, const char *cause)
+{
+    return metrics.counter("kelptally_server_connection_errors_total",
+                           "Connections to servers that were closed because an answer could have "
+                           "been taken for that of another command",
+                           {{"cause", cause}});
+}
 
 // Returns the id of the caller's statement in the batch, or "-".
 std::string statementIdOf(const std::vector<ServerCommand> &batch)
@@ -104,9 +107,8 @@
 }
 
 CheckedConnector::CheckedConnector(const Parts &parts)
-    : parts_(parts),
-      busyErrors_(parts.metrics.counter(errorsName, errorsHelp, {{"cause", "busy"}})),
-      unsignedErrors_(parts.metrics.counter(errorsName, errorsHelp, {{"cause", "unsigned"}}))
+    : parts_(parts), busyErrors_(errorCounter(parts.metrics, "busy")),
+      unsignedErrors_(errorCounter(parts.metrics, "unsigned"))
 { }
 
 void CheckedConnector::connect(const ServerAddress &server, const OrganisationName &organisation,
