Tests: the statement soak checks that promises are kept

A write or a commit whose answer promised that nothing of it is kept must not have taken effect by the end.

No functional change

--- a/tests/platform/checkinggroup.cpp
+++ b/tests/platform/checkinggroup.cpp
@@ -136,6 +136,12 @@
     return found == committed_.end() ? std::vector<std::string>() : found->second;
 }
 
+bool CheckingGroup::isKept(const std::string &id) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return written_.count(id) != 0 || committed_.count(id) != 0;
+}
+
 int CheckingGroup::commits() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/platform/checkinggroup.h
+++ b/tests/platform/checkinggroup.h
@@ -46,6 +46,8 @@
 
     // Returns the statements of a committed transaction before its commit, or nothing.
     std::vector<std::string> statementsOf(const std::string &commit) const;
+    // Whether the single write or the commit has taken effect.
+    bool isKept(const std::string &id) const;
     int commits() const;
     // Returns the operations whose transactions are open.
     std::vector<std::string> openTransactions() const;
--- a/tests/platform/statementsoak.cpp
+++ b/tests/platform/statementsoak.cpp
@@ -6,9 +6,12 @@
 #include "testhost.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <functional>
+#include <map>
+#include <memory>
 #include <mutex>
 #include <random>
 #include <sstream>
@@ -55,6 +58,17 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         return violations_;
     }
+    // Records a statement whose answer promised that nothing of it is kept.
+    void addPromise(const std::string &id)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        promises_.push_back(id);
+    }
+    std::vector<std::string> promises() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return promises_;
+    }
 
     std::atomic<int> served {0};
     std::atomic<int> refused {0};
@@ -63,8 +77,18 @@
 private:
     mutable std::mutex mutex_;
     std::vector<std::string> violations_;
+    std::vector<std::string> promises_;
 };
 
+// Whether the error promises that nothing of the statement is kept.
+bool isPromise(const std::string &answer)
+{
+    for (const char *code : {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"})
+        if (answer.rfind(std::string("ERROR ") + code + " ", 0) == 0)
+            return true;
+    return false;
+}
+
 // One caller on a thread of its own, whose sessions follow each other on one host.
 class SoakCaller
 {
@@ -153,6 +177,8 @@
             return Outcome::Closed;
         if (answer.rfind("ERROR ", 0) == 0) {
             ++record_.refused;
+            if (isPromise(answer))
+                record_.addPromise(id);
             return Outcome::Refused;
         }
         ++record_.served;
@@ -266,6 +292,7 @@
         awaitCallers();
         checkTransactionsEnd();
         checkConnections();
+        checkPromises();
         StatementSoakResult result;
         result.served = record_.served;
         result.refused = record_.refused;
@@ -340,6 +367,13 @@
                     record_.addViolation(host->name() + " closed a connection as " + cause);
     }
 
+    void checkPromises()
+    {
+        for (const std::string &id : record_.promises())
+            if (group_.isKept(id))
+                record_.addViolation(id + " was kept, though its answer promised that it is not");
+    }
+
     void schedule(Duration delay, std::function<void()> action)
     {
         actions_.emplace(BootClock::now() + delay, std::move(action));
@@ -369,8 +403,12 @@
         const bool isSilent = plan_.silencesStore && (!plan_.refusesStore || draw(2) == 0);
         if (plan_.refusesStore || plan_.silencesStore) {
             ++disturbances_;
-            for (const auto &path : paths_)
-                isSilent ? path->cut() : path->refuse();
+            for (const auto &path : paths_) {
+                if (isSilent)
+                    path->cut();
+                else
+                    path->refuse();
+            }
             schedule(outageLength, [this] {
                 for (const auto &path : paths_)
                     path->heal();
