--- a/src/session/router.cpp
+++ b/src/session/router.cpp
@@ -353,8 +353,8 @@
     peer.silent = false;
     parts_.log.info("owner_responsive").with("peer", address);
     dispatchWaiting();
-    // After the statements that are sent again, which the owner has already: an end would cancel
-    // the copies that are about to be replaced.
+    // Follows the statements that are sent again: an end ahead of them would cancel the copies that
+    // they replace.
     resendEnds(address, peer);
 }
 
