Tests: the checking group's servers last as long as their connections

A connection that its duty thread dropped at the end counted itself off at a server that was gone. Found by reading the diff.

No functional change

--- a/tests/platform/checkinggroup.cpp
+++ b/tests/platform/checkinggroup.cpp
@@ -77,18 +77,19 @@
 
 struct CheckingGroup::Connection
 {
-    Connection(Server &onServer, Tcp::socket accepted)
-        : server(onServer), socket(std::move(accepted))
+    Connection(ServerPtr onServer, Tcp::socket accepted)
+        : server(std::move(onServer)), socket(std::move(accepted))
     {
-        ++server.connections;
+        ++server->connections;
     }
-    ~Connection() { --server.connections; }
+    ~Connection() { --server->connections; }
 
-    Server &server;
+    // Outlives the group with its connections, whose handlers end with the duty thread.
+    const ServerPtr server;
     Tcp::socket socket;
     LineBuffer buffer;
     std::array<char, 4096> bytes {};
-    // Lines that were received and not yet answered. The first one is running.
+    // Lines that were received and wait for the one that is running.
     std::deque<std::string> lines;
     bool isRunning = false;
     bool isOpen = true;
@@ -112,8 +113,8 @@
     : thread_(thread), options_(options), random_(options.seed)
 {
     for (int i = 0; i < options.servers; ++i) {
-        servers_.push_back(std::make_unique<Server>(thread, i));
-        accept(*servers_.back());
+        servers_.push_back(std::make_shared<Server>(thread, i));
+        accept(servers_.back());
     }
 }
 
@@ -175,9 +176,9 @@
     violations_.push_back(what);
 }
 
-void CheckingGroup::accept(Server &server)
+void CheckingGroup::accept(const ServerPtr &server)
 {
-    server.acceptor.async_accept([this, &server](const Error &error, Tcp::socket socket) {
+    server->acceptor.async_accept([this, server](const Error &error, Tcp::socket socket) {
         if (error)
             return;
         Error ignored;
@@ -217,7 +218,7 @@
     connection->lines.pop_front();
     if (!startsWith(line, connection->isStarted ? "QUERY " : "START ")) {
         Error unknown;
-        addViolation(connection->server.id + " received \"" + line + "\" from port "
+        addViolation(connection->server->id + " received \"" + line + "\" from port "
                      + std::to_string(connection->socket.remote_endpoint(unknown).port())
                      + (connection->isStarted ? " after" : " before") + " the start, local "
                      + std::to_string(connection->socket.local_endpoint(unknown).port()));
@@ -229,10 +230,10 @@
         connection->isStarted = true;
         const std::vector<std::string> words = absl::StrSplit(line, ' ');
         const bool isHere =
-            words.size() == 4 && words[1] == groupName && words[3] == connection->server.id;
+            words.size() == 4 && words[1] == groupName && words[3] == connection->server->id;
         return answer(connection,
                       isHere ? "READY I 1." + std::to_string(position_) + "\r\n"
-                             : "ERROR WRONGNODE " + connection->server.id + "\r\n");
+                             : "ERROR WRONGNODE " + connection->server->id + "\r\n");
     }
     std::string text = line;
     takeWord(text);
@@ -243,7 +244,7 @@
     }
     if (id == "-")
         return answer(connection, execute(*connection, id, text));
-    Server &server = connection->server;
+    Server &server = *connection->server;
     if (server.running >= options_.slots)
         return answer(connection, refuse(*connection, "BUSY"));
     ++server.running;
@@ -251,7 +252,7 @@
     const auto spread = std::uint64_t((options_.maxWork - options_.minWork).count() + 1);
     const Duration work = options_.minWork + Duration(std::int64_t(random_() % spread));
     thread_.timers().subscribeAfter(work, [this, connection, id, text] {
-        --connection->server.running;
+        --connection->server->running;
         connection->isRunning = false;
         // A statement whose connection ended meanwhile is rolled back.
         if (connection->isOpen)
@@ -285,10 +286,10 @@
     if (id != "-")
         return runStatement(connection, id, text);
     if (text == "STATUS")
-        return std::string("DATAROW ") + (connection.server.isPrimary ? "primary" : "replica")
+        return std::string("DATAROW ") + (connection.server->isPrimary ? "primary" : "replica")
             + " 1 1." + std::to_string(position_) + " 0 0 "
-            + std::to_string(connection.server.running + 1) + " "
-            + std::to_string(connection.server.connections) + "\r\n" + complete(connection, "-");
+            + std::to_string(connection.server->running + 1) + " "
+            + std::to_string(connection.server->connections) + "\r\n" + complete(connection, "-");
     std::string rest = text;
     const std::string verb = takeWord(rest);
     if (verb == "RESET") {
@@ -304,7 +305,7 @@
     } else if (verb == "BEGIN") {
         if (connection.inTransaction)
             addViolation("a begin in the transaction of " + connection.operation);
-        if (rest.empty() && !connection.server.isPrimary)
+        if (rest.empty() && !connection.server->isPrimary)
             return refuse(connection, "READONLY");
         connection.inTransaction = true;
         connection.readOnly = rest == "READ";
@@ -348,7 +349,7 @@
     }
     const std::string signature = expectedSignature(id, connection.tag, shape);
     if (writes) {
-        if (!connection.server.isPrimary || (connection.inTransaction && connection.readOnly))
+        if (!connection.server->isPrimary || (connection.inTransaction && connection.readOnly))
             return refuse(connection, "READONLY");
         if (!connection.inTransaction) {
             ++position_;
--- a/tests/platform/checkinggroup.h
+++ b/tests/platform/checkinggroup.h
@@ -56,9 +56,10 @@
 private:
     struct Server;
     struct Connection;
+    using ServerPtr = std::shared_ptr<Server>;
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    void accept(Server &server);
+    void accept(const ServerPtr &server);
     void read(const ConnectionPtr &connection);
     void runNext(const ConnectionPtr &connection);
     void answer(const ConnectionPtr &connection, const std::string &text);
@@ -73,7 +74,7 @@
     DutyThread &thread_;
     const Options options_;
     std::mt19937_64 random_;
-    std::vector<std::unique_ptr<Server>> servers_;
+    std::vector<ServerPtr> servers_;
     std::uint64_t position_ = 0;
     mutable std::mutex mutex_;
     std::map<std::string, std::vector<std::string>> committed_;
