Logs: the started line and a metric name the sources of the program

The line `started` and kelptally_build_info carry a digest of the sources, which each build determines anew.

The new case of process_test fails without it.

No functional change

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -59,6 +59,13 @@
     return counter("kelptally_visits_total", "Table entries scanned", {{"part", part}});
 }
 
+void Metrics::setBuild(const std::string &version, const std::string &sources)
+{
+    gauge("kelptally_build_info", "The version and the sources of the program",
+          {{"version", version}, {"sources", sources}})
+        .Set(1);
+}
+
 void Metrics::countRefusal(Reason reason)
 {
     if (reason != Reason::None)
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -35,6 +35,9 @@
                                      const std::vector<double> &bounds,
                                      const MetricLabels &labels = {});
 
+    // Sets kelptally_build_info, which tells the program's version and sources.
+    void setBuild(const std::string &version, const std::string &sources);
+
     // Increment kelptally_refusals_total{reason=} and kelptally_retries_total{reason=}. The series
     // of all reasons are registered by the constructor. Reason::None is ignored.
     void countRefusal(Reason reason);
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -449,6 +449,26 @@
             && Catch::Contains(R"(kelptally_owner_connections{group="cases",server="i-1"})"));
 }
 
+// Without it, logs of a play do not tell whether the program was the expected one.
+TEST_CASE("The first log line and the metrics name the sources of the program")
+{
+    int pipeEnds[2];
+    REQUIRE(::pipe(pipeEnds) == 0);
+    Deployment deployment(pipeEnds[1]);
+    std::string log(4096, '\0');
+    log.resize(std::size_t(::read(pipeEnds[0], log.data(), log.size())));
+    ::close(pipeEnds[0]);
+    ::close(pipeEnds[1]);
+    const std::string line = log.substr(0, log.find('\n'));
+    CHECK_THAT(line, Catch::Contains(R"("event":"started")"));
+    const std::string label = R"("sources":")";
+    constexpr std::size_t idLength = 12;
+    REQUIRE_THAT(line, Catch::Contains(label));
+    const std::string id = line.substr(line.find(label) + label.size(), idLength);
+    CHECK(id.find_first_not_of("0123456789abcdef") == std::string::npos);
+    CHECK_THAT(deployment.metrics(), Catch::Contains(R"(kelptally_build_info{sources=")" + id));
+}
+
 TEST_CASE("A changed settings file is reloaded without a signal; an invalid one is refused")
 {
     int pipeEnds[2];
