--- a/setup.sh
+++ b/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    ca-certificates cmake ninja-build ccache g++ pkg-config
+    ca-certificates cmake make ninja-build ccache g++ pkg-config
     clang clang-format clang-tidy libclang-rt-14-dev curl
     libboost-dev libboost-system-dev libwebsocketpp-dev nlohmann-json3-dev
     libabsl-dev libgoogle-glog-dev libspdlog-dev libtclap-dev libinih-dev libcbor-dev
