--- a/src/group/grouprunnerexecution.cpp
+++ b/src/group/grouprunnerexecution.cpp
@@ -105,6 +105,15 @@
         server->onCommandAnswered(parts_.timers.now() - job->sentAt);
         recordPosition(*server, result.results.back(), job->sentAt);
     }
+    parts_.log.line(LogLevel::Debug, "transaction_begun")
+        .with("id", job->statement.statementId)
+        .with("session", job->statement.session)
+        .with("request", job->statement.requestId)
+        .with("server", job->server)
+        .with("connection", job->connection->number)
+        .with("complete", result.results.size() == expected)
+        .with("error", result.results.empty() ? std::string() : result.results.back().detail)
+        .with("awaited", !job->done);
     if (job->done)
         return release(job, false);
     if (result.results.size() < expected)
@@ -140,6 +149,7 @@
         .with("server", job->server)
         .with("connection", job->connection->number)
         .with("complete", result.results.size() == expected)
+        .with("error", result.results.empty() ? std::string() : result.results.back().detail)
         .with("awaited", !job->done);
     // The statement was already answered, at its deadline or because its caller left.
     if (job->done) {
