Servers: nothing is answered that ran without its session's values

A batch sets a session's values and prepares its statement ahead of the statement or the begin. If the server refused one of these commands, a begin behind it was taken as a success, and after a refusal "not executed" (busy) the connection went back to the pool with values that the server does not have: a statement of this or of another session ran with other values than were acknowledged. A single write behind a refused value was sent again, although it may have run.

A refused command of this kind now ends the connection, and the batch counts as lost from there on: reads and first statements run again elsewhere, a write outside a transaction is reported as unconfirmed.

--- a/src/group/checkedconnector.cpp
+++ b/src/group/checkedconnector.cpp
@@ -3,6 +3,7 @@
 #include <prometheus/counter.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace kelptally::group {
@@ -32,6 +33,13 @@
     return command.kind == CommandKind::Statement || command.kind == CommandKind::ExecutePrepared;
 }
 
+// Whether the command prepares the connection for the statement that follows it.
+bool isPreparation(const ServerCommand &command)
+{
+    return command.kind == CommandKind::Reset || command.kind == CommandKind::SetValue
+        || command.kind == CommandKind::Prepare;
+}
+
 } // namespace
 
 // Kept alive by its pool, and by the batch that runs on it.
@@ -49,7 +57,16 @@
     void onEnd(std::function<void()> callback) override { connection_->onEnd(std::move(callback)); }
 
 private:
+    // An answer that does not fit its command.
+    struct Mismatch
+    {
+        const char *event;
+        prometheus::Counter &counter;
+    };
+
     void onResult(BatchResult result);
+    std::optional<Mismatch> mismatchOf(const ServerCommand &command,
+                                       const CommandResult &answer) const;
     void logError(std::string_view event, const std::string &statement);
 
     CheckedConnector &connector_;
@@ -83,11 +100,11 @@
 {
     const std::size_t answered = std::min(result.results.size(), batch_.size());
     for (std::size_t i = 0; i < answered; ++i) {
-        const CommandResult &answer = result.results[i];
-        if (!isSigned(batch_[i]) || answer.error != ServerError::None || !answer.signature.empty())
+        const auto mismatch = mismatchOf(batch_[i], result.results[i]);
+        if (!mismatch)
             continue;
-        connector_.unsignedErrors_.Increment();
-        logError("answer_unsigned", batch_[i].id);
+        mismatch->counter.Increment();
+        logError(mismatch->event, batch_[i].id.empty() ? statementIdOf(batch_) : batch_[i].id);
         // Whether the statement ran is unknown, as if its answer had been lost.
         result.results.resize(i);
         result.lost = true;
@@ -98,6 +115,20 @@
     callback(std::move(result));
 }
 
+std::optional<CheckedConnector::Connection::Mismatch>
+CheckedConnector::Connection::mismatchOf(const ServerCommand &command,
+                                         const CommandResult &answer) const
+{
+    if (answer.error != ServerError::None) {
+        if (isPreparation(command))
+            return Mismatch {"connection_unprepared", connector_.unpreparedErrors_};
+        return std::nullopt;
+    }
+    if (isSigned(command) && answer.signature.empty())
+        return Mismatch {"answer_unsigned", connector_.unsignedErrors_};
+    return std::nullopt;
+}
+
 void CheckedConnector::Connection::logError(std::string_view event, const std::string &statement)
 {
     connector_.parts_.log.line(LogLevel::Error, event)
@@ -108,7 +139,8 @@
 
 CheckedConnector::CheckedConnector(const Parts &parts)
     : parts_(parts), busyErrors_(errorCounter(parts.metrics, "busy")),
-      unsignedErrors_(errorCounter(parts.metrics, "unsigned"))
+      unsignedErrors_(errorCounter(parts.metrics, "unsigned")),
+      unpreparedErrors_(errorCounter(parts.metrics, "unprepared"))
 { }
 
 void CheckedConnector::connect(const ServerAddress &server, const OrganisationName &organisation,
--- a/src/group/checkedconnector.h
+++ b/src/group/checkedconnector.h
@@ -10,7 +10,9 @@
 
 // Connects through another connector. Its connections refuse a second batch while one is running,
 // and a success without a signature where the server owes one. Either ends the connection and is
-// logged as an error, since nobody can tell any more which command an answer belongs to.
+// logged as an error, since nobody can tell any more which command an answer belongs to. So does a
+// failed command that prepares the connection for a statement: what follows it in the batch ran in
+// an unknown state.
 class CheckedConnector : public ServerConnector
 {
 public:
@@ -33,6 +35,7 @@
     const Parts parts_;
     prometheus::Counter &busyErrors_;
     prometheus::Counter &unsignedErrors_;
+    prometheus::Counter &unpreparedErrors_;
 };
 
 } // namespace kelptally::group
--- a/tests/group/checkedconnector_test.cpp
+++ b/tests/group/checkedconnector_test.cpp
@@ -70,14 +70,43 @@
         connection->run({command}, [&result](BatchResult given) { result = std::move(given); });
     }
 
-    static BatchResult success(const std::string &signature)
+    // Runs the commands and answers them.
+    BatchResult run(const std::vector<CommandKind> &kinds, const BatchResult &answers)
     {
+        std::vector<ServerCommand> batch;
+        for (const CommandKind kind : kinds) {
+            batch.emplace_back();
+            batch.back().kind = kind;
+        }
         BatchResult result;
-        result.results.resize(1);
-        result.results[0].signature = signature;
+        connection->run(batch, [&result](BatchResult given) { result = std::move(given); });
+        inner.connection->answer(answers);
         return result;
     }
 
+    static BatchResult success(const std::string &signature, bool inTransaction = false)
+    {
+        BatchResult result;
+        result.results.push_back(answer(signature, inTransaction));
+        return result;
+    }
+
+    static CommandResult answer(const std::string &signature, bool inTransaction)
+    {
+        CommandResult each;
+        each.signature = signature;
+        each.inTransaction = inTransaction;
+        each.idle = !inTransaction;
+        return each;
+    }
+
+    static CommandResult refusal(ServerError error)
+    {
+        CommandResult each = answer("", false);
+        each.error = error;
+        return each;
+    }
+
     ManualTimerService timers;
     EventLog log {noLines()};
     Metrics metrics;
@@ -113,9 +142,9 @@
     begin.kind = CommandKind::Begin;
     fixture.connection->run(
         {begin}, [&](const BatchResult &) { fixture.run(CommandKind::Statement, second); });
-    fixture.inner.connection->answer(Fixture::success(""));
+    fixture.inner.connection->answer(Fixture::success("", true));
     CHECK(fixture.inner.connection->batches == 2);
-    fixture.inner.connection->answer(Fixture::success("signature"));
+    fixture.inner.connection->answer(Fixture::success("signature", true));
     REQUIRE(second.results.size() == 1);
     CHECK(second.results[0].signature == "signature");
     CHECK(fixture.connection->isOpen());
@@ -146,3 +175,27 @@
     CHECK(result.results.size() == 1);
     CHECK(fixture.connection->isOpen());
 }
+
+TEST_CASE("A statement does not run with a session value that its server has refused")
+{
+    Fixture fixture;
+    const CommandKind preparation =
+        GENERATE(CommandKind::Reset, CommandKind::SetValue, CommandKind::Prepare);
+    const BatchResult result = fixture.run(
+        {preparation, CommandKind::Statement},
+        {{Fixture::refusal(ServerError::Busy), Fixture::answer("signature", false)}, false});
+    CHECK(result.lost);
+    CHECK(result.results.empty());
+    CHECK_FALSE(fixture.connection->isOpen());
+}
+
+TEST_CASE("A transaction does not begin with a session value that its server has refused")
+{
+    Fixture fixture;
+    const BatchResult result =
+        fixture.run({CommandKind::SetValue, CommandKind::Begin},
+                    {{Fixture::refusal(ServerError::Busy), Fixture::answer("", true)}, false});
+    CHECK(result.lost);
+    CHECK(result.results.empty());
+    CHECK_FALSE(fixture.connection->isOpen());
+}
--- a/tests/host/modelcluster.cpp
+++ b/tests/host/modelcluster.cpp
@@ -636,7 +636,7 @@
 {
     double errors = 0;
     for (const auto &host : hosts)
-        for (const char *cause : {"busy", "unsigned"})
+        for (const char *cause : {"busy", "unsigned", "unprepared"})
             errors +=
                 host->metrics
                     .counter("kelptally_server_connection_errors_total", "", {{"cause", cause}})
