Servers: each answer has to show what its command leads to

The only check was that a due signature is there.

A connection now also takes a success as lost, and closes, if it has a signature where none is due, or shows another transaction state than its command leads to: a single statement that ran within a transaction, a statement of a transaction outside it, a begin that opens none, a rollback or commit that leaves one open. An answer that is shifted by one command differs in one of these unless both are statements of one transaction, or both are outside of any. Logged as errors and counted by cause.

--- a/src/group/checkedconnector.cpp
+++ b/src/group/checkedconnector.cpp
@@ -40,6 +40,20 @@
         || command.kind == CommandKind::Prepare;
 }
 
+// Whether a transaction is open after a success of the command.
+bool isInTransactionAfter(const ServerCommand &command, bool isInTransaction)
+{
+    switch (command.kind) {
+    case CommandKind::Begin:
+    case CommandKind::BeginReadOnly:
+        return true;
+    case CommandKind::Rollback:
+        return false;
+    default:
+        return isInTransaction && !command.commits;
+    }
+}
+
 } // namespace
 
 // Kept alive by its pool, and by the batch that runs on it.
@@ -75,6 +89,8 @@
     // The running batch.
     std::vector<ServerCommand> batch_;
     BatchCallback callback_;
+    // Whether the last answer showed an open transaction, failed or not.
+    bool isInTransaction_ = false;
 };
 
 void CheckedConnector::Connection::run(std::vector<ServerCommand> batch, BatchCallback callback)
@@ -101,6 +117,7 @@
     const std::size_t answered = std::min(result.results.size(), batch_.size());
     for (std::size_t i = 0; i < answered; ++i) {
         const auto mismatch = mismatchOf(batch_[i], result.results[i]);
+        isInTransaction_ = !result.results[i].idle;
         if (!mismatch)
             continue;
         mismatch->counter.Increment();
@@ -126,6 +143,12 @@
     }
     if (isSigned(command) && answer.signature.empty())
         return Mismatch {"answer_unsigned", connector_.unsignedErrors_};
+    if (!isSigned(command) && !answer.signature.empty())
+        return Mismatch {"answer_signed", connector_.signedErrors_};
+    const bool fits =
+        isInTransactionAfter(command, isInTransaction_) ? answer.inTransaction : answer.idle;
+    if (!fits)
+        return Mismatch {"answer_in_wrong_state", connector_.stateErrors_};
     return std::nullopt;
 }
 
@@ -140,6 +163,8 @@
 CheckedConnector::CheckedConnector(const Parts &parts)
     : parts_(parts), busyErrors_(errorCounter(parts.metrics, "busy")),
       unsignedErrors_(errorCounter(parts.metrics, "unsigned")),
+      signedErrors_(errorCounter(parts.metrics, "signed")),
+      stateErrors_(errorCounter(parts.metrics, "state")),
       unpreparedErrors_(errorCounter(parts.metrics, "unprepared"))
 { }
 
--- a/src/group/checkedconnector.h
+++ b/src/group/checkedconnector.h
@@ -9,10 +9,11 @@
 namespace kelptally::group {
 
 // Connects through another connector. Its connections refuse a second batch while one is running,
-// and a success without a signature where the server owes one. Either ends the connection and is
-// logged as an error, since nobody can tell any more which command an answer belongs to. So does a
-// failed command that prepares the connection for a statement: what follows it in the batch ran in
-// an unknown state.
+// and check that each answer fits its command: a success has a signature exactly if the server owes
+// one, and shows the transaction state that the commands so far lead to. An answer that does not
+// fit ends the connection and is logged as an error, since nobody can tell any more which command
+// an answer belongs to. So does a failed command that prepares the connection for a statement: what
+// follows it in the batch ran in an unknown state.
 class CheckedConnector : public ServerConnector
 {
 public:
@@ -35,6 +36,8 @@
     const Parts parts_;
     prometheus::Counter &busyErrors_;
     prometheus::Counter &unsignedErrors_;
+    prometheus::Counter &signedErrors_;
+    prometheus::Counter &stateErrors_;
     prometheus::Counter &unpreparedErrors_;
 };
 
--- a/src/group/connectionstate.cpp
+++ b/src/group/connectionstate.cpp
@@ -75,6 +75,7 @@
     ServerCommand command;
     command.id = statement.statementId;
     command.after = after;
+    command.commits = statement.verb == inner::SessionVerb::Commit;
     if (statement.preparedShape.empty()) {
         command.kind = CommandKind::Statement;
         command.text = statement.text;
--- a/src/group/serverinterface.h
+++ b/src/group/serverinterface.h
@@ -46,6 +46,8 @@
     std::string argument;
     // Whether the shape to prepare writes.
     bool writes = false;
+    // Whether the caller's statement commits its transaction.
+    bool commits = false;
     // For reads and begins: the server refuses the command if its log lacks this position.
     std::optional<Position> after;
     Term term = 0;
--- a/tests/group/checkedconnector_test.cpp
+++ b/tests/group/checkedconnector_test.cpp
@@ -199,3 +199,53 @@
     CHECK(result.results.empty());
     CHECK_FALSE(fixture.connection->isOpen());
 }
+
+TEST_CASE("An answer that shows another transaction state than its command counts as lost")
+{
+    Fixture fixture;
+    SECTION("a statement outside a transaction that ran inside one")
+    {
+        CHECK(fixture.run({CommandKind::Statement}, Fixture::success("signature", true)).lost);
+    }
+    SECTION("a statement of a transaction that ran outside it")
+    {
+        REQUIRE_FALSE(fixture.run({CommandKind::Begin}, Fixture::success("", true)).lost);
+        CHECK(fixture.run({CommandKind::Statement}, Fixture::success("signature")).lost);
+    }
+    SECTION("a begin that opens no transaction")
+    {
+        CHECK(fixture.run({CommandKind::Begin}, Fixture::success("")).lost);
+    }
+    SECTION("a rollback that leaves the transaction open")
+    {
+        REQUIRE_FALSE(fixture.run({CommandKind::Begin}, Fixture::success("", true)).lost);
+        CHECK(fixture.run({CommandKind::Rollback}, Fixture::success("", true)).lost);
+    }
+    CHECK_FALSE(fixture.connection->isOpen());
+}
+
+TEST_CASE("An own command whose answer has a statement's signature counts as lost")
+{
+    Fixture fixture;
+    const BatchResult result = fixture.run(
+        {CommandKind::Prepare, CommandKind::ExecutePrepared},
+        {{Fixture::answer("signature", false), Fixture::answer("signature", false)}, false});
+    CHECK(result.lost);
+    CHECK(result.results.empty());
+    CHECK_FALSE(fixture.connection->isOpen());
+}
+
+TEST_CASE("A commit ends its transaction")
+{
+    Fixture fixture;
+    REQUIRE_FALSE(fixture.run({CommandKind::Begin}, Fixture::success("", true)).lost);
+    ServerCommand commit;
+    commit.kind = CommandKind::Statement;
+    commit.commits = true;
+    BatchResult result;
+    fixture.connection->run({commit}, [&result](BatchResult given) { result = std::move(given); });
+    fixture.inner.connection->answer(Fixture::success("signature"));
+    CHECK_FALSE(result.lost);
+    CHECK_FALSE(fixture.run({CommandKind::Statement}, Fixture::success("signature")).lost);
+    CHECK(fixture.connection->isOpen());
+}
--- a/tests/host/modelcluster.cpp
+++ b/tests/host/modelcluster.cpp
@@ -636,7 +636,7 @@
 {
     double errors = 0;
     for (const auto &host : hosts)
-        for (const char *cause : {"busy", "unsigned", "unprepared"})
+        for (const char *cause : {"busy", "unsigned", "signed", "state", "unprepared"})
             errors +=
                 host->metrics
                     .counter("kelptally_server_connection_errors_total", "", {{"cause", cause}})
--- a/tests/platform/statementsoak.cpp
+++ b/tests/platform/statementsoak.cpp
@@ -360,7 +360,7 @@
     void checkConnections()
     {
         for (const auto &host : hosts_)
-            for (const std::string cause : {"busy", "unsigned", "unprepared"})
+            for (const std::string cause : {"busy", "unsigned", "signed", "state", "unprepared"})
                 if (host->metric("kelptally_server_connection_errors_total{cause=\"" + cause
                                  + "\"}")
                     > 0)
