Tests: the fake server signs only callers' statements

The fake server of process_test sent a signature for the proxy's own commands, too, which the servers' protocol doesn't. The checks are unchanged.

No functional change

--- a/tests/platform/fakeplatform.cpp
+++ b/tests/platform/fakeplatform.cpp
@@ -284,8 +284,10 @@
     if (text == "COMMIT" || text == "ROLLBACK")
         connection.state = 'I';
     const bool reads = text.rfind("READ", 0) == 0;
-    return std::string(reads ? "DATAROW row-of-" + text.substr(5) + "\r\n" : "") + "COMPLETE sig-"
-        + id + "\r\n" + ready();
+    // Only statements of callers are signed.
+    const std::string signature = id == "-" ? "-" : "sig-" + id;
+    return std::string(reads ? "DATAROW row-of-" + text.substr(5) + "\r\n" : "") + "COMPLETE "
+        + signature + "\r\n" + ready();
 }
 
 } // namespace kelptally::platform
