Logs: the writer thread ends before its sink is freed

The sink is shared, and the writer gives its part up within a library that isn't instrumented, so that the sanitizer may miss the order; nothing shows that the order was wrong.

No functional change

--- a/src/core/eventlog.cpp
+++ b/src/core/eventlog.cpp
@@ -56,6 +56,8 @@
             "{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",%v", spdlog::pattern_time_type::utc));
         logger->set_level(spdlog::level::trace);
     }
+    // Ends the writer thread before the sink that it writes to is freed.
+    ~Private() { pool.reset(); }
 
     std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
