Tests: the statement soak plays several groups, and names each run of a statement

The soak's servers sent the same answer for each run of a statement, so an answer of a copy that was not committed passed for that of the one that was. Each run has a number of its own now, which its row and signature carry: callers check that both name one run, and that a commit comprises exactly the runs that they were answered from.

New in the soak: several groups (--groups), owners of one length of freeze, one at a time (--freeze), transactions of up to 12 statements, values and prepared names that change within a session, versions of the configuration that change a time-out, and reports of sanitizers in the hosts' logs, which count as violations. The checks that stood are unchanged.

The new case of statement_soak_test is its short form.

No functional change"

--- a/tests/platform/checkinggroup.cpp
+++ b/tests/platform/checkinggroup.cpp
@@ -15,8 +15,6 @@
 using Tcp = boost::asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr char groupName[] = "cases";
-
 bool startsWith(const std::string &text, const std::string &prefix)
 {
     return text.compare(0, prefix.size(), prefix) == 0;
@@ -50,21 +48,23 @@
 
 } // namespace
 
-std::string expectedRow(const std::string &id, const std::string &item, const std::string &tag)
+std::string expectedRow(const std::string &id, const std::string &item,
+                        const SessionSettings &settings)
 {
-    return "row " + id + " " + item + " " + tag;
+    return "row " + id + " " + item + " " + settings.tag + "/" + settings.mode;
 }
 
-std::string expectedSignature(const std::string &id, const std::string &tag,
+std::string expectedSignature(const std::string &id, const SessionSettings &settings,
                               const std::string &shape)
 {
-    return "sig." + id + "." + tag + "." + (shape.empty() ? "plain" : shape);
+    return "sig." + id + "." + settings.tag + "/" + settings.mode + "."
+        + (shape.empty() ? "plain" : shape);
 }
 
 struct CheckingGroup::Server
 {
-    Server(DutyThread &thread, int index)
-        : id("i-" + std::to_string(index)), isPrimary(index == 0),
+    Server(DutyThread &thread, int number, bool primary)
+        : id("i-" + std::to_string(number)), isPrimary(primary),
           acceptor(thread.context(), Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     { }
 
@@ -94,7 +94,7 @@
     bool isRunning = false;
     bool isOpen = true;
     bool isStarted = false;
-    std::string tag;
+    SessionSettings settings;
     struct Prepared
     {
         bool writes = false;
@@ -105,7 +105,7 @@
     bool readOnly = false;
     // The transaction's operation, once a statement of it has run, and its statements.
     std::string operation;
-    std::vector<std::string> statements;
+    std::vector<StatementRun> statements;
     bool wrote = false;
 };
 
@@ -113,28 +113,35 @@
     : thread_(thread), options_(options), random_(options.seed)
 {
     for (int i = 0; i < options.servers; ++i) {
-        servers_.push_back(std::make_shared<Server>(thread, i));
+        servers_.push_back(std::make_shared<Server>(thread, options.firstServer + i, i == 0));
         accept(servers_.back());
     }
 }
 
 CheckingGroup::~CheckingGroup() = default;
 
+std::string CheckingGroup::serverId(int server) const
+{
+    return servers_[std::size_t(server)]->id;
+}
+
 std::string CheckingGroup::entryOf(int server) const
 {
     const Server &each = *servers_[std::size_t(server)];
-    return std::string(R"({"service":")") + groupName + R"(","address":"127.0.0.1:)"
+    return std::string(R"({"service":")") + options_.name + R"(","address":"127.0.0.1:)"
         + std::to_string(each.acceptor.local_endpoint().port()) + R"(","zone":"z)"
-        + std::to_string(server) + R"(","version":"v1","slots":)" + std::to_string(options_.slots)
+        + std::to_string((options_.firstServer + server + options_.firstServer / options_.servers)
+                         % options_.servers)
+        + R"(","version":"v1","slots":)" + std::to_string(options_.slots)
         + R"(,"state":"ready","warmupLeftMs":0,"dbRole":")"
         + (each.isPrimary ? "primary" : "replica") + R"(","sequence":1,"born":1796255000123})";
 }
 
-std::vector<std::string> CheckingGroup::statementsOf(const std::string &commit) const
+std::vector<StatementRun> CheckingGroup::statementsOf(const std::string &commit) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto found = committed_.find(commit);
-    return found == committed_.end() ? std::vector<std::string>() : found->second;
+    return found == committed_.end() ? std::vector<StatementRun>() : found->second;
 }
 
 bool CheckingGroup::isKept(const std::string &id) const
@@ -230,7 +237,7 @@
         connection->isStarted = true;
         const std::vector<std::string> words = absl::StrSplit(line, ' ');
         const bool isHere =
-            words.size() == 4 && words[1] == groupName && words[3] == connection->server->id;
+            words.size() == 4 && words[1] == options_.name && words[3] == connection->server->id;
         return answer(connection,
                       isHere ? "READY I 1." + std::to_string(position_) + "\r\n"
                              : "ERROR WRONGNODE " + connection->server->id + "\r\n");
@@ -293,11 +300,11 @@
     std::string rest = text;
     const std::string verb = takeWord(rest);
     if (verb == "RESET") {
-        connection.tag.clear();
+        connection.settings = {};
         connection.prepared.clear();
     } else if (verb == "SET") {
-        takeWord(rest);
-        connection.tag = rest;
+        const std::string name = takeWord(rest);
+        (name == "tag" ? connection.settings.tag : connection.settings.mode) = rest;
     } else if (verb == "PREPARE") {
         const std::string name = takeWord(rest);
         const bool writes = takeWord(rest) == "WRITE";
@@ -327,8 +334,8 @@
         addViolation(id + " ran in the transaction \"" + connection.operation + "\"");
     if (connection.inTransaction)
         connection.operation = operationOf(id);
-    if (connection.tag != "tag" + sessionOf(id))
-        addViolation(id + " ran with the value " + connection.tag);
+    if (connection.settings.tag != "tag" + sessionOf(id))
+        addViolation(id + " ran with the value " + connection.settings.tag);
 }
 
 std::string CheckingGroup::runStatement(Connection &connection, const std::string &id,
@@ -347,7 +354,9 @@
         writes = prepared->second.writes;
         shape = prepared->second.shape;
     }
-    const std::string signature = expectedSignature(id, connection.tag, shape);
+    const std::uint64_t run = ++lastRun_;
+    const std::string signature =
+        expectedSignature(id, connection.settings, shape) + "." + std::to_string(run);
     if (writes) {
         if (!connection.server->isPrimary || (connection.inTransaction && connection.readOnly))
             return refuse(connection, "READONLY");
@@ -358,7 +367,7 @@
                 violations_.push_back(id + " was written twice");
         }
         connection.wrote = true;
-        connection.statements.push_back(id);
+        connection.statements.emplace_back(id, run);
         return complete(connection, signature);
     }
     if (verb == "COMMIT") {
@@ -369,9 +378,9 @@
             violations_.push_back(id + " was committed twice");
         return complete(connection, signature);
     }
-    connection.statements.push_back(id);
-    return "DATAROW " + expectedRow(id, rest, connection.tag) + "\r\n"
-        + complete(connection, signature);
+    connection.statements.emplace_back(id, run);
+    return "DATAROW " + expectedRow(id, rest, connection.settings) + " " + std::to_string(run)
+        + "\r\n" + complete(connection, signature);
 }
 
 } // namespace kelptally::platform
--- a/tests/platform/checkinggroup.h
+++ b/tests/platform/checkinggroup.h
@@ -15,12 +15,22 @@
 
 namespace kelptally::platform {
 
-// Returns the row and the signature that a server sends for a statement of a session. Each session
-// sets its value "tag" and names its statements SESSION-OPERATION-NUMBER.
-std::string expectedRow(const std::string &id, const std::string &item, const std::string &tag);
-std::string expectedSignature(const std::string &id, const std::string &tag,
+// Returns the row and the signature that a server sends for a statement of a session, without the
+// number of the run, which follows each after a blank or a dot. Each session sets its value "tag",
+// may set its value "mode", and names its statements SESSION-OPERATION-NUMBER.
+struct SessionSettings
+{
+    std::string tag;
+    std::string mode;
+};
+std::string expectedRow(const std::string &id, const std::string &item,
+                        const SessionSettings &settings);
+std::string expectedSignature(const std::string &id, const SessionSettings &settings,
                               const std::string &shape);
 
+// The answer of one run of a statement: the id, and the number of the run.
+using StatementRun = std::pair<std::string, std::uint64_t>;
+
 // A group of fake database servers whose answers depend on the statement and the session, and which
 // check that each statement runs in its own session and transaction. Its replicas have no lag. The
 // servers run on the given thread, which must outlive them; all functions but the constructor and
@@ -30,6 +40,9 @@
 public:
     struct Options
     {
+        std::string name = "cases";
+        // Number of the first server; the ids of all groups' servers differ.
+        int firstServer = 0;
         int servers = 3;
         // Statements that one server runs at a time; further ones are refused as busy.
         int slots = 3;
@@ -41,11 +54,14 @@
     CheckingGroup(DutyThread &thread, const Options &options);
     ~CheckingGroup();
 
+    std::string name() const { return options_.name; }
+    // Returns the id under which the server is registered.
+    std::string serverId(int server) const;
     // Returns the entry of the server's registration, as the platform's store has it.
     std::string entryOf(int server) const;
 
     // Returns the statements of a committed transaction before its commit, or nothing.
-    std::vector<std::string> statementsOf(const std::string &commit) const;
+    std::vector<StatementRun> statementsOf(const std::string &commit) const;
     // Whether the single write or the commit has taken effect.
     bool isKept(const std::string &id) const;
     int commits() const;
@@ -77,7 +93,8 @@
     std::vector<ServerPtr> servers_;
     std::uint64_t position_ = 0;
     mutable std::mutex mutex_;
-    std::map<std::string, std::vector<std::string>> committed_;
+    std::map<std::string, std::vector<StatementRun>> committed_;
+    std::uint64_t lastRun_ = 0;
     std::set<std::string> written_;
     std::vector<std::weak_ptr<Connection>> connections_;
     std::vector<std::string> violations_;
--- a/tests/platform/statementsoak.cpp
+++ b/tests/platform/statementsoak.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,12 +39,31 @@
 constexpr std::array<Duration, 3> freezeLengths = {480ms, 610ms, 1100ms};
 constexpr Duration outagePause = 3500ms;
 
-constexpr char configuration[] = R"({"version":1,"routes":[
-    {"name":"r1","database":"main","type":"primary","timeoutMs":2000,"targetLatencyMs":200,
-     "priority":1,"service":"cases"},
-    {"name":"r2","database":"own","type":"read_own","maxStalenessMs":2500,"timeoutMs":2000,
-     "targetLatencyMs":250,"priority":2,"service":"cases"}],
-    "services":[{"name":"cases","maxConns":24,"syncReplicas":0}],"limits":{}})";
+// Each group has a database whose reads are strict, and one for sessions that read their own
+// writes. Versions differ in the time limit of a statement.
+std::string databaseOf(int group, bool readOnly)
+{
+    return (readOnly ? "own" : "main") + std::to_string(group);
+}
+
+std::string configurationOf(int version, const std::vector<std::unique_ptr<CheckingGroup>> &groups)
+{
+    const std::string timeout = version % 2 == 0 ? "1900" : "2000";
+    std::string routes, services;
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        const std::string name = groups[i]->name();
+        const std::string more = R"(,"timeoutMs":)" + timeout + R"(,"targetLatencyMs":200,)"
+            + R"("priority":1,"service":")" + name + "\"}";
+        routes += std::string(i == 0 ? "" : ",") + R"({"name":"m)" + name + R"(","database":")"
+            + databaseOf(int(i), false) + R"(","type":"primary")" + more;
+        routes += R"(,{"name":"o)" + name + R"(","database":")" + databaseOf(int(i), true)
+            + R"(","type":"read_own","maxStalenessMs":2500)" + more;
+        services += std::string(i == 0 ? "" : ",") + R"({"name":")" + name
+            + R"(","maxConns":24,"syncReplicas":0})";
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
+        + R"(],"services":[)" + services + R"(],"limits":{}})";
+}
 
 // What the sessions have seen.
 class Record
@@ -93,10 +114,10 @@
 class SoakCaller
 {
 public:
-    SoakCaller(Record &record, const CheckingGroup &group, const TestHost &host, int number,
-               std::uint64_t seed, Duration maxPause)
-        : record_(record), group_(group), host_(host), number_(number), maxPause_(maxPause),
-          random_(seed), thread_([this] { run(); })
+    SoakCaller(Record &record, const CheckingGroup &group, std::string database,
+               const TestHost &host, int number, std::uint64_t seed, Duration maxPause)
+        : record_(record), group_(group), database_(std::move(database)), host_(host),
+          number_(number), maxPause_(maxPause), random_(seed), thread_([this] { run(); })
     { }
     ~SoakCaller() { thread_.join(); }
 
@@ -121,17 +142,17 @@
     void runSession(Caller &caller)
     {
         session_ = "s" + std::to_string(number_) + "x" + std::to_string(++sessions_);
-        tag_ = "tag" + session_;
-        readOnly_ = number_ % 2 == 1;
-        const bool isOpen =
-            caller.query(readOnly_ ? "START own test" : "START main test").rfind("READY", 0) == 0
-            && isComplete(caller, "SET tag " + tag_) && isComplete(caller, "PREPARE p READ shape1")
-            && isComplete(caller, "PREPARE w WRITE shape2");
+        settings_ = {"tag" + session_, ""};
+        readOnly_ = database_.rfind("own", 0) == 0;
+        const bool isOpen = caller.query("START " + database_ + " test").rfind("READY", 0) == 0
+            && isComplete(caller, "SET tag " + settings_.tag) && prepare(caller);
         if (!isOpen)
             return std::this_thread::sleep_for(reconnectDelay);
         const std::size_t operations = 5 + draw(40);
         for (std::size_t i = 0; i < operations && !record_.isOver; ++i) {
             ++operation_;
+            if (draw(8) == 0 && !changeSession(caller))
+                return;
             const bool goesOn = draw(5) < 3 ? runTransaction(caller) : runSingle(caller);
             if (!goesOn)
                 return;
@@ -140,6 +161,26 @@
         }
     }
 
+    // Prepares the session's two names anew, with shapes that other sessions use under them.
+    bool prepare(Caller &caller)
+    {
+        readShape_ = "shape" + std::to_string(draw(4));
+        writeShape_ = "shape" + std::to_string(draw(4));
+        return isComplete(caller, "PREPARE p READ " + readShape_)
+            && isComplete(caller, "PREPARE w WRITE " + writeShape_);
+    }
+
+    // Changes a value or the prepared statements.
+    bool changeSession(Caller &caller)
+    {
+        if (draw(2) == 0) {
+            settings_.mode = "m" + std::to_string(draw(5));
+            return isComplete(caller, "SET mode " + settings_.mode);
+        }
+        return isComplete(caller, "DEALLOC p") && isComplete(caller, "DEALLOC w")
+            && prepare(caller);
+    }
+
     bool isComplete(Caller &caller, const std::string &text)
     {
         return caller.query("QUERY 0 " + text).rfind("COMPLETE -|READY", 0) == 0;
@@ -157,17 +198,17 @@
     {
         const std::string item = "k" + std::to_string(draw(50));
         const bool isPrepared = draw(2) == 0;
-        const std::string shape = !isPrepared ? "" : writes ? "shape2" : "shape1";
+        const std::string shape = !isPrepared ? "" : writes ? writeShape_ : readShape_;
         std::string text =
             isPrepared ? (writes ? "EXECUTE w " : "EXECUTE p ") : (writes ? "WRITE " : "READ ");
         text += item + (writes ? " data" : "");
-        const std::string row = writes ? "" : "DATAROW " + expectedRow(id, item, tag_) + "|";
-        return check(caller, id, text,
-                     row + "COMPLETE " + expectedSignature(id, tag_, shape) + "|READY ");
+        const std::string row = writes ? "" : "DATAROW " + expectedRow(id, item, settings_) + " ";
+        return check(caller, id, text, row, expectedSignature(id, settings_, shape));
     }
 
+    // Sets lastRun_ to the run that was answered. Its row and its signature carry the same number.
     Outcome check(Caller &caller, const std::string &id, const std::string &text,
-                  const std::string &expected)
+                  const std::string &row, const std::string &signature)
     {
         const Instant sent = BootClock::now();
         const std::string answer = caller.query("QUERY " + id + " " + text);
@@ -182,6 +223,14 @@
             return Outcome::Refused;
         }
         ++record_.served;
+        const std::string beforeRun = "COMPLETE " + signature + ".";
+        const std::size_t at = answer.find(beforeRun);
+        lastRun_ = at == std::string::npos
+            ? 0
+            : std::strtoull(answer.c_str() + at + beforeRun.size(), nullptr, 10);
+        const std::string run = std::to_string(lastRun_);
+        const std::string expected = (row.empty() ? "" : row + run + "|") + beforeRun + run
+            + (text == "COMMIT" ? "|READY I" : "|READY ");
         if (answer.rfind(expected, 0) != 0)
             record_.addViolation(id + " " + text + " got " + answer);
         return Outcome::Served;
@@ -200,8 +249,8 @@
         const bool onlyReads = readOnly_ || draw(4) == 0;
         if (!isComplete(caller, onlyReads ? "BEGIN READ" : "BEGIN"))
             return false;
-        std::vector<std::string> served;
-        const std::size_t count = 1 + draw(5);
+        std::vector<StatementRun> served;
+        const std::size_t count = 1 + draw(12);
         for (std::size_t i = 0; i < count; ++i) {
             const std::string id = name + std::to_string(i);
             const Outcome outcome = runStatement(caller, id, !onlyReads && draw(2) == 0);
@@ -209,7 +258,7 @@
                 return false;
             if (outcome == Outcome::Refused)
                 return isComplete(caller, "ROLLBACK");
-            served.push_back(id);
+            served.emplace_back(id, lastRun_);
             // Some callers leave within a transaction.
             if (draw(60) == 0)
                 return false;
@@ -219,14 +268,15 @@
             return isComplete(caller, "ROLLBACK");
         const std::string id = name + "c";
         const Outcome outcome =
-            check(caller, id, "COMMIT", "COMPLETE " + expectedSignature(id, tag_, "") + "|READY I");
+            check(caller, id, "COMMIT", "", expectedSignature(id, settings_, ""));
         if (outcome == Outcome::Served && group_.statementsOf(id) != served)
-            record_.addViolation(id + " committed other statements");
+            record_.addViolation(id + " committed other statements, or other runs of them");
         return outcome != Outcome::Closed;
     }
 
     Record &record_;
     const CheckingGroup &group_;
+    const std::string database_;
     const TestHost &host_;
     const int number_;
     const Duration maxPause_;
@@ -235,7 +285,10 @@
     int operation_ = 0;
     bool readOnly_ = false;
     std::string session_;
-    std::string tag_;
+    SessionSettings settings_;
+    std::string readShape_;
+    std::string writeShape_;
+    std::uint64_t lastRun_ = 0;
     std::atomic<bool> isDone_ {false};
     std::thread thread_;
 };
@@ -243,14 +296,16 @@
 class StatementSoak
 {
 public:
-    explicit StatementSoak(const StatementSoakPlan &plan)
-        : plan_(plan), random_(plan.seed), group_(groupThread_, groupOptions(plan))
+    explicit StatementSoak(const StatementSoakPlan &plan) : plan_(plan), random_(plan.seed)
     {
+        for (int i = 0; i < plan.groups; ++i)
+            groups_.push_back(std::make_unique<CheckingGroup>(groupThread_, groupOptions(plan, i)));
         groupThread_.start();
         storeThread_.start();
-        store_.put("op", "config", configuration);
-        for (int i = 0; i < servers; ++i)
-            store_.put("servers", "i-" + std::to_string(i), group_.entryOf(i));
+        changeConfiguration();
+        for (const auto &group : groups_)
+            for (int i = 0; i < servers; ++i)
+                store_.put("servers", group->serverId(i), group->entryOf(i));
         for (int i = 0; i < plan.hosts; ++i) {
             paths_.push_back(std::make_unique<StorePath>(storeThread_, store_.port(), 0));
             TestHostOptions options;
@@ -277,10 +332,13 @@
     StatementSoakResult run()
     {
         awaitReady();
-        for (int i = 0; i < plan_.hosts * plan_.sessionsPerHost; ++i)
-            callers_.push_back(std::make_unique<SoakCaller>(record_, group_,
-                                                            *hosts_[std::size_t(i % plan_.hosts)],
-                                                            i, random_(), plan_.maxPause));
+        for (int i = 0; i < plan_.hosts * plan_.sessionsPerHost; ++i) {
+            const int group = i / plan_.hosts % plan_.groups;
+            const bool readOnly = i / plan_.hosts / plan_.groups % 2 == 1;
+            callers_.push_back(std::make_unique<SoakCaller>(
+                record_, *groups_[std::size_t(group)], databaseOf(group, readOnly),
+                *hosts_[std::size_t(i % plan_.hosts)], i, random_(), plan_.maxPause));
+        }
         const Instant end = BootClock::now() + plan_.length;
         runUntil(BootClock::now() + 2s);
         while (BootClock::now() < end) {
@@ -293,46 +351,61 @@
         checkTransactionsEnd();
         checkConnections();
         checkPromises();
+        checkLogs();
         StatementSoakResult result;
         result.served = record_.served;
         result.refused = record_.refused;
-        result.commits = group_.commits();
         result.disturbances = disturbances_;
         result.violations = record_.violations();
-        const std::vector<std::string> atServers = group_.violations();
-        result.violations.insert(result.violations.end(), atServers.begin(), atServers.end());
+        for (const auto &group : groups_) {
+            result.commits += group->commits();
+            const std::vector<std::string> atServers = group->violations();
+            result.violations.insert(result.violations.end(), atServers.begin(), atServers.end());
+        }
         return result;
     }
 
 private:
     static constexpr int servers = 3;
 
-    static CheckingGroup::Options groupOptions(const StatementSoakPlan &plan)
+    static CheckingGroup::Options groupOptions(const StatementSoakPlan &plan, int group)
     {
         CheckingGroup::Options options;
+        options.name = "cases" + std::to_string(group);
+        options.firstServer = group * servers;
         options.servers = servers;
         options.slots = plan.slots;
-        options.seed = plan.seed;
+        options.seed = plan.seed + std::uint64_t(group);
         return options;
     }
 
+    void changeConfiguration() { store_.put("op", "config", configurationOf(++version_, groups_)); }
+
     std::size_t draw(std::size_t count) { return random_() % count; }
 
     void awaitReady()
     {
         const Instant limit = BootClock::now() + readyLimit;
         const auto isReady = [](const auto &host) { return host->isReady(); };
-        const auto isOwner = [](const auto &host) { return host->ownsGroup(); };
         while (!std::all_of(hosts_.begin(), hosts_.end(), isReady)
-               || !std::any_of(hosts_.begin(), hosts_.end(), isOwner)) {
+               || countOwnedGroups() < plan_.groups) {
             if (BootClock::now() >= limit)
                 throw std::runtime_error("the hosts don't become ready");
             for (const auto &host : hosts_)
-                host->openSession("main");
+                for (int i = 0; i < plan_.groups; ++i)
+                    host->openSession(databaseOf(i, false));
             std::this_thread::sleep_for(100ms);
         }
     }
 
+    int countOwnedGroups() const
+    {
+        int count = 0;
+        for (const auto &host : hosts_)
+            count += int(host->metric("kelptally_groups_owned"));
+        return count;
+    }
+
     void awaitCallers()
     {
         const Instant limit = BootClock::now() + answerLimit;
@@ -350,12 +423,22 @@
     void checkTransactionsEnd()
     {
         const Instant limit = BootClock::now() + abandonedLimit;
-        while (!group_.openTransactions().empty() && BootClock::now() < limit)
+        while (!openTransactions().empty() && BootClock::now() < limit)
             std::this_thread::sleep_for(driverPeriod);
-        for (const std::string &operation : group_.openTransactions())
+        for (const std::string &operation : openTransactions())
             record_.addViolation("the transaction " + operation + " is still open");
     }
 
+    std::vector<std::string> openTransactions() const
+    {
+        std::vector<std::string> all;
+        for (const auto &group : groups_) {
+            const std::vector<std::string> open = group->openTransactions();
+            all.insert(all.end(), open.begin(), open.end());
+        }
+        return all;
+    }
+
     // Hosts close a connection on which an answer could be taken for that of another statement.
     void checkConnections()
     {
@@ -370,8 +453,21 @@
     void checkPromises()
     {
         for (const std::string &id : record_.promises())
-            if (group_.isKept(id))
-                record_.addViolation(id + " was kept, though its answer promised that it is not");
+            for (const auto &group : groups_)
+                if (group->isKept(id))
+                    record_.addViolation(id
+                                         + " was kept, though its answer promised that it is not");
+    }
+
+    // Hosts that were built with a sanitizer write its reports to their logs.
+    void checkLogs()
+    {
+        for (const auto &host : hosts_) {
+            std::ifstream log(plan_.folder + "/" + host->name() + ".log");
+            for (std::string line; std::getline(log, line);)
+                if (line.find("Sanitizer") != std::string::npos)
+                    record_.addViolation(host->name() + ": " + line);
+        }
     }
 
     void schedule(Duration delay, std::function<void()> action)
@@ -414,8 +510,11 @@
                     path->heal();
             });
         }
+        schedule(outageLength + outagePause / 2, [this] { changeConfiguration(); });
         for (const Duration time : freezeTimes) {
-            if (plan_.freezesOwners)
+            if (plan_.freezesOwners && plan_.freezeLength != Duration(0))
+                freeze(owners.empty() ? 0 : owners[draw(owners.size())], time);
+            else if (plan_.freezesOwners)
                 for (const std::size_t owner : owners)
                     freeze(owner, time);
             if (plan_.freezesEntries && draw(2) == 0)
@@ -428,7 +527,9 @@
     void freeze(std::size_t host, Duration delay)
     {
         ++disturbances_;
-        const Duration length = freezeLengths[draw(freezeLengths.size())];
+        const Duration length = plan_.freezeLength != Duration(0)
+            ? plan_.freezeLength
+            : freezeLengths[draw(freezeLengths.size())];
         schedule(delay, [this, host] {
             ++frozen_[host];
             hosts_[host]->signal(SIGSTOP);
@@ -464,8 +565,9 @@
     std::mt19937_64 random_;
     DutyThread groupThread_ {"group"};
     DutyThread storeThread_ {"store"};
-    CheckingGroup group_;
+    std::vector<std::unique_ptr<CheckingGroup>> groups_;
     FakeStore store_ {storeThread_};
+    int version_ = 0;
     std::vector<std::unique_ptr<StorePath>> paths_;
     std::vector<std::unique_ptr<TestHost>> hosts_;
     Record record_;
--- a/tests/platform/statementsoak.h
+++ b/tests/platform/statementsoak.h
@@ -14,6 +14,7 @@
 {
     std::uint64_t seed = 1;
     int hosts = 4;
+    int groups = 1;
     int sessionsPerHost = 24;
     // Longest pause between two operations of a session.
     Duration maxPause {std::chrono::milliseconds(500)};
@@ -21,6 +22,8 @@
     Duration length {std::chrono::seconds(30)};
     // Owners that stand still.
     bool freezesOwners = true;
+    // How long an owner stands still; drawn if it is 0.
+    Duration freezeLength {0};
     // Any hosts that stand still.
     bool freezesEntries = true;
     // Whether the store refuses connections, or is silent, while hosts stand still.
--- a/tests/platform/statementsoak_main.cpp
+++ b/tests/platform/statementsoak_main.cpp
@@ -18,6 +18,9 @@
     TCLAP::ValueArg<std::uint64_t> first("s", "seed", "First seed", false, 1, "N", command);
     TCLAP::ValueArg<int> count("n", "count", "Number of seeds", false, 1, "N", command);
     TCLAP::ValueArg<int> hosts("", "hosts", "Processes", false, 4, "N", command);
+    TCLAP::ValueArg<int> groups("", "groups", "Groups of servers", false, 1, "N", command);
+    TCLAP::ValueArg<int> freeze("", "freeze", "How long owners stand still in ms; 0 draws", false,
+                                0, "MS", command);
     TCLAP::ValueArg<int> sessions("", "sessions", "Sessions on each host", false, 24, "N", command);
     TCLAP::ValueArg<int> pause("", "pause", "Longest pause of a session in ms", false, 500, "MS",
                                command);
@@ -38,6 +41,8 @@
         StatementSoakPlan plan;
         plan.seed = first.getValue() + std::uint64_t(i);
         plan.hosts = hosts.getValue();
+        plan.groups = groups.getValue();
+        plan.freezeLength = std::chrono::milliseconds(freeze.getValue());
         plan.sessionsPerHost = sessions.getValue();
         plan.maxPause = std::chrono::milliseconds(pause.getValue());
         plan.slots = slots.getValue();
--- a/tests/platform/statementsoak_test.cpp
+++ b/tests/platform/statementsoak_test.cpp
@@ -37,6 +37,19 @@
     checkSoak(plan);
 }
 
+TEST_CASE("Each answer is that of the run that commits while several groups' owners stand still")
+{
+    StatementSoakPlan plan;
+    plan.seed = 1;
+    plan.hosts = 8;
+    plan.groups = 3;
+    plan.freezeLength = 610ms;
+    plan.freezesEntries = false;
+    plan.silencesStore = false;
+    plan.length = 15s;
+    checkSoak(plan);
+}
+
 TEST_CASE("Each answer is that of its statement while hosts are stopped and killed as well")
 {
     StatementSoakPlan plan;
