Tests: a first statement that is sent again on a renewed link

It holds that of the entry's process, which its links share: after 200 to 278 ms (the copy has the same number) and 440 to 518 ms (a newer one) the session has one transaction, which commits alone.

No functional change

--- a/tests/host/linkrepeat_test.cpp
+++ b/tests/host/linkrepeat_test.cpp
@@ -139,6 +139,30 @@
     }
 }
 
+// The copy has the same number, or a newer one after the owner has counted as lost.
+TEST_CASE("A first statement sent again on a renewed link leaves its session one transaction")
+{
+    const auto shortest = GENERATE(200ms, 440ms);
+    constexpr auto span = 80ms;
+    for (auto delay = shortest; delay < shortest + span; delay += 2ms) {
+        CAPTURE(delay.count());
+        ModelCluster cluster(44);
+        waitUntilReady(cluster);
+        const std::size_t entry = hostOtherThan(cluster.owner());
+        cluster.delayLinks();
+        const auto begun = cluster.begin(entry, sessionNumber);
+        cluster.run(delay);
+        cluster.deliverDelayed();
+        REQUIRE(isServed(cluster, begun));
+        CHECK(cluster.group.openTransactionCount() == 1);
+        cluster.run(100ms);
+        checkCommittedAlone(cluster, entry, begun);
+        cluster.run(1s);
+        checkNoViolations(cluster);
+        CHECK(cluster.connectionErrors() == 0);
+    }
+}
+
 namespace {
 
 // Returns how often the last read of the cluster has run.
