--- a/tests/platform/checkinggroup.cpp
+++ b/tests/platform/checkinggroup.cpp
@@ -128,12 +128,12 @@
 std::string CheckingGroup::entryOf(int server) const
 {
     const Server &each = *servers_[std::size_t(server)];
+    // The groups' primaries are in different zones.
+    const int group = options_.firstServer / options_.servers;
     return std::string(R"({"service":")") + options_.name + R"(","address":"127.0.0.1:)"
         + std::to_string(each.acceptor.local_endpoint().port()) + R"(","zone":"z)"
-        + std::to_string((options_.firstServer + server + options_.firstServer / options_.servers)
-                         % options_.servers)
-        + R"(","version":"v1","slots":)" + std::to_string(options_.slots)
-        + R"(,"state":"ready","warmupLeftMs":0,"dbRole":")"
+        + std::to_string((group + server) % options_.servers) + R"(","version":"v1","slots":)"
+        + std::to_string(options_.slots) + R"(,"state":"ready","warmupLeftMs":0,"dbRole":")"
         + (each.isPrimary ? "primary" : "replica") + R"(","sequence":1,"born":1796255000123})";
 }
 
--- a/tests/platform/checkinggroup.h
+++ b/tests/platform/checkinggroup.h
@@ -15,14 +15,16 @@
 
 namespace kelptally::platform {
 
-// Returns the row and the signature that a server sends for a statement of a session, without the
-// number of the run, which follows each after a blank or a dot. Each session sets its value "tag",
-// may set its value "mode", and names its statements SESSION-OPERATION-NUMBER.
+// The values of a session. Each sets its own tag, and may set a mode.
 struct SessionSettings
 {
     std::string tag;
     std::string mode;
 };
+
+// Returns the row and the signature that a server sends for a statement of a session, without the
+// number of the run, which follows each after a blank or a dot. Sessions name their statements
+// SESSION-OPERATION-NUMBER.
 std::string expectedRow(const std::string &id, const std::string &item,
                         const SessionSettings &settings);
 std::string expectedSignature(const std::string &id, const SessionSettings &settings,
