--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -863,12 +863,23 @@
         int promotionPort = 0;
         // Existing folder for the settings and the log.
         std::string folder;
+        // The figure `graceS` under `bounds`, as the platform writes it.
+        std::string grace = "6";
     };
 
     explicit Host(const Options &options) : options_(options)
     {
         callerPort_ = freePort(options_.address);
         readyPort_ = freePort(options_.address);
+        peerPort_ = freePort(options_.address);
+        adminPort_ = freePort(options_.address);
+        file_ = options_.folder + "/" + options_.name + ".ini";
+        writeSettings(options_.grace);
+    }
+
+    // Writes the settings file anew from the template.
+    void writeSettings(const std::string &grace)
+    {
         std::ifstream source("deploy/host.ini");
         std::stringstream content;
         content << source.rdbuf();
@@ -876,18 +887,18 @@
             {"nodeName", options_.name},
             {"zone", options_.zone},
             {"ip", options_.address},
-            {"portRange.0", std::to_string(freePort(options_.address))},
-            {"portRange.1", std::to_string(freePort(options_.address))},
+            {"portRange.0", std::to_string(peerPort_)},
+            {"portRange.1", std::to_string(adminPort_)},
             {"listenAddrs.front", options_.address + ":" + std::to_string(callerPort_)},
             {"listenAddrs.ready", options_.address + ":" + std::to_string(readyPort_)},
-            {"bounds.graceS", "6"},
+            {"bounds.graceS", grace},
             {"limits.cpuShare", "0.25"},
             {"bounds.drainMs", "7000"},
             {"bounds.configApplyMs", "3000"},
             {"platform.address", "127.0.0.1:" + std::to_string(options_.storePort)},
             {"cloudApi.address", "127.0.0.1:" + std::to_string(options_.promotionPort)}};
-        file_ = options_.folder + "/" + options_.name + ".ini";
-        std::ofstream(file_) << filled(content.str(), values);
+        std::ofstream(file_ + ".new") << filled(content.str(), values);
+        std::rename((file_ + ".new").c_str(), file_.c_str());
     }
 
     ~Host() { kill(); }
@@ -953,6 +964,8 @@
     std::string file_;
     int callerPort_ = 0;
     int readyPort_ = 0;
+    int peerPort_ = 0;
+    int adminPort_ = 0;
     pid_t process_ = 0;
 };
 
