--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <cstdarg>
@@ -27,6 +28,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -167,6 +169,9 @@
         }
     }
 
+    // What was read and is not part of a whole line.
+    const std::string &rest() const { return buffer_; }
+
     bool bytes(std::size_t count, std::string &text)
     {
         while (buffer_.size() < count)
@@ -217,6 +222,8 @@
             const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd >= 0)
                 std::thread(handler, fd).detach();
+            else if (errno == EINVAL)
+                return; // shut down
         }
     }).detach();
 }
@@ -492,6 +499,17 @@
         double heartbeatMs = 1200;
         // Work of a read, write or commit.
         double workMs = 30;
+        // While the platform is slow, it reads a call this late.
+        double slowCallMs = 2500;
+    };
+
+    struct Promotion
+    {
+        double arrivedAt = 0;
+        double readAt = 0;
+        std::string id;
+        std::string holder;
+        std::uint64_t fence = 0;
     };
 
     Group(Store &store, Record &record, const Options &options)
@@ -502,10 +520,10 @@
             server->id = "i-" + std::to_string(100 + i);
             server->zone = options_.zones[i];
             server->isPrimary = i == 0;
-            const int listener = listenOn("127.0.0.1", server->port);
+            server->listener = listenOn("127.0.0.1", server->port);
             Server *at = server.get();
             servers_.push_back(std::move(server));
-            serve(listener, [this, at](int fd) { handle(*at, fd); });
+            serve(at->listener, [this, at](int fd) { handle(*at, fd); });
         }
         const int listener = listenOn("127.0.0.1", promotionPort_);
         serve(listener, [this](int fd) { handlePromotions(fd); });
@@ -519,6 +537,35 @@
 
     int promotionPort() const { return promotionPort_; }
 
+    // From now on, and until the time, calls are read slowly.
+    void slowPromotions(double until) { slowUntil_ = until; }
+
+    // Time at which the first slow call arrived, or 0.
+    double slowCallAt() const { return slowCallAt_; }
+
+    // All calls in the order in which the platform has read them.
+    std::vector<Promotion> promotions()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return promotions_;
+    }
+
+    // Ends the primary: its connections are reset and new ones are refused.
+    void crashPrimary()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const auto &server : servers_) {
+            if (!server->isPrimary)
+                continue;
+            server->isDown = true;
+            server->isPrimary = false;
+            ::shutdown(server->listener, SHUT_RDWR);
+            for (const int fd : server->sockets)
+                ::shutdown(fd, SHUT_RDWR);
+            record_.line("server %s crashes", server->id.c_str());
+        }
+    }
+
     // Time at which a server was given the statement, or a negative number.
     double runAt(const std::string &id)
     {
@@ -542,6 +589,9 @@
         std::size_t waiting = 0;
         int connections = 0;
         std::uint64_t sequence = 0;
+        bool isDown = false;
+        int listener = -1;
+        std::set<int> sockets;
     };
 
     void registerAll()
@@ -550,6 +600,8 @@
             nlohmann::json entry;
             {
                 const std::lock_guard<std::mutex> lock(mutex_);
+                if (server->isDown)
+                    continue;
                 entry = {{"service", options_.service},
                          {"address", "127.0.0.1:" + std::to_string(server->port)},
                          {"zone", server->zone},
@@ -567,14 +619,33 @@
     void handlePromotions(int fd)
     {
         Lines lines(fd);
+        const bool isSlow = nowMs() < slowUntil_;
+        if (isSlow) {
+            // The call has arrived in the socket; the platform comes to read it later.
+            pollfd waiting {fd, POLLIN, 0};
+            ::poll(&waiting, 1, 5000);
+            if (slowCallAt_ == 0)
+                slowCallAt_ = nowMs();
+            record_.line("a call has arrived at the platform, which is slow to read it");
+        }
+        double arrivedAt = nowMs();
+        sleepMs(isSlow ? options_.slowCallMs : 0);
         Request request;
         while (readRequest(lines, request)) {
-            sleepMs(15);
+            if (!isSlow)
+                arrivedAt = nowMs();
             const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
             const std::string id = body.is_discarded() ? "" : body.value("id", "");
-            record_.line("promotion of %s by %s with fence %s", id.c_str(),
-                         request.fields["x-lease-holder"].c_str(),
-                         request.fields["x-fencing-token"].c_str());
+            Promotion promotion {arrivedAt, nowMs(), id, request.fields["x-lease-holder"], 0};
+            promotion.fence = std::strtoull(request.fields["x-fencing-token"].c_str(), nullptr, 10);
+            record_.line("promotion of %s by %s with fence %llu", id.c_str(),
+                         promotion.holder.c_str(),
+                         static_cast<unsigned long long>(promotion.fence));
+            {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                promotions_.push_back(promotion);
+            }
+            sleepMs(15);
             std::thread([this, id] {
                 sleepMs(options_.promoteMs);
                 lead(id);
@@ -592,11 +663,19 @@
             std::uint64_t received = 0;
             for (const auto &server : servers_) {
                 term = std::max(term, server->term);
-                if (server->id == id)
-                    received = server->received;
+                if (server->id != id)
+                    continue;
+                received = server->received;
+                // Nothing changes for the present primary, and a server that is down can't lead.
+                if (server->isPrimary || server->isDown)
+                    return;
             }
+            record_.line("server %s leads term %llu", id.c_str(),
+                         static_cast<unsigned long long>(term + 1));
             for (const auto &server : servers_) {
                 server->isPrimary = server->id == id;
+                if (server->isDown)
+                    continue;
                 server->stoppedTerm = 0;
                 server->term = term + 1;
                 server->received = std::min(server->received, received);
@@ -640,8 +719,12 @@
         bool isFull = false;
         {
             const std::lock_guard<std::mutex> lock(mutex_);
+            if (server.isDown)
+                return;
             isFull = server.connections >= options_.maxConnections;
             server.connections += isFull ? 0 : 1;
+            if (!isFull)
+                server.sockets.insert(fd);
         }
         if (isFull) {
             lines.send("ERROR MAXCONN full\r\n");
@@ -655,6 +738,7 @@
                 break;
         const std::lock_guard<std::mutex> lock(mutex_);
         --server.connections;
+        server.sockets.erase(fd);
     }
 
     std::string refuse(Server &server, Session &session, const std::string &code)
@@ -799,7 +883,7 @@
             const std::lock_guard<std::mutex> lock(mutex_);
             ++server.received;
             for (const auto &other : servers_)
-                if (!other->isPrimary && other->stoppedTerm == 0)
+                if (!other->isPrimary && !other->isDown && other->stoppedTerm == 0)
                     other->received = server.received;
         }
         freeSlot(server);
@@ -820,6 +904,9 @@
     std::condition_variable slotFreed_;
     std::vector<std::unique_ptr<Server>> servers_;
     std::map<std::string, double> runs_;
+    std::vector<Promotion> promotions_;
+    std::atomic<double> slowUntil_ {0};
+    std::atomic<double> slowCallAt_ {0};
 };
 
 // The system's processes
@@ -955,6 +1042,20 @@
             && lines.line(line, 1000) == Lines::Got::Line && line.find(" 200") != std::string::npos;
     }
 
+    // Whether the host owns a group, as its metrics page tells.
+    bool ownsGroup() const
+    {
+        Lines lines(connectTo(options_.address, adminPort_));
+        std::string line;
+        if (!lines.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+            return false;
+        std::string text;
+        while (lines.line(line, 1000) == Lines::Got::Line)
+            text += line + "\n";
+        text += lines.rest();
+        return text.find("\nkelptally_groups_owned 1") != std::string::npos;
+    }
+
     const std::string &address() const { return options_.address; }
     int callerPort() const { return callerPort_; }
     const std::string &name() const { return options_.name; }
