--- a/review/4/stop.cpp
+++ b/review/4/stop.cpp
@@ -176,7 +176,7 @@
         threads.emplace_back([&, i] {
             if (i < writers) {
                 const std::string name = "p" + std::to_string(i);
-                sleepMs(stoppedAt + 2000 + 25 * i - nowMs());
+                sleepMs(stoppedAt + 1980 + 12 * i - nowMs());
                 static_cast<void>(transact(client, record, name + "a", true, 4, 290)
                                   && transact(client, record, name + "b", true, 11, 190));
                 return;
