--- a/review/4/stop.cpp
+++ b/review/4/stop.cpp
@@ -102,6 +102,7 @@
     const std::string work = argc > 2 ? argv[2] : "/tmp";
     const char *trouble = std::getenv("TROUBLE");
     const bool stops = trouble == nullptr || std::string(trouble) != "0";
+    endProcessesOnSignal();
     nowMs();
     Record record(folder + "/record.txt");
     Store store;
@@ -127,13 +128,13 @@
     hosts.push_back(host("h3", "umea-a", "127.0.0.13"));
     for (const auto &each : hosts)
         if (!each->start())
-            return 2;
+            endCase(2);
     for (const auto &each : hosts) {
         const double until = nowMs() + 15000;
         while (!each->isReady()) {
             if (nowMs() > until) {
                 record.line("%s is not ready", each->name().c_str());
-                return 2;
+                endCase(2);
             }
             sleepMs(50);
         }
@@ -158,7 +159,7 @@
         }
         if (!serves) {
             record.line("session %d can't be used", i);
-            return 2;
+            endCase(2);
         }
     }
     sleepMs(1500);
@@ -221,7 +222,5 @@
         record.line("%s: %d", what.c_str(), number);
     record.line("LOST: %d, of which commits: %d, single reads: %d", broken, commits, singleReads);
     std::printf("LOST: %d, of which commits: %d, single reads: %d\n", broken, commits, singleReads);
-    hosts.clear();
-    std::fflush(stdout);
-    std::_Exit(broken > 0 ? 1 : 0);
+    endCase(broken > 0 ? 1 : 0);
 }
--- a/review/6/settings.cpp
+++ b/review/6/settings.cpp
@@ -11,6 +11,7 @@
     const std::string work = argc > 2 ? argv[2] : "/tmp";
     const char *trouble = std::getenv("TROUBLE");
     const bool isFraction = trouble == nullptr || std::string(trouble) != "0";
+    endProcessesOnSignal();
     nowMs();
     Record record(folder + "/record.txt");
     Store store;
@@ -38,10 +39,10 @@
     };
     for (const auto &host : hosts)
         if (!host->start())
-            return 2;
+            endCase(2);
     for (const auto &host : hosts)
         if (!becomesReady(*host, 15000))
-            return 2;
+            endCase(2);
     record.line("all hosts are ready");
     // 1. The settings of a host change while it runs.
     Host &changed = *hosts[0];
@@ -52,8 +53,7 @@
     sleepMs(4000);
     if (!changed.isReady()) {
         record.line("h1 is not ready after the change");
-        hosts.clear();
-        return 2;
+        endCase(2);
     }
     // 2. It is killed once, and started again after a short delay whenever it has ended.
     changed.kill();
@@ -63,7 +63,7 @@
     for (int start = 0; start < 4 && !serves; ++start) {
         sleepMs(500);
         if (!changed.start())
-            return 2;
+            endCase(2);
         record.line("h1 is started");
         const double until = nowMs() + 8000;
         while (nowMs() < until && !serves && !changed.hasEnded()) {
@@ -94,7 +94,5 @@
     record.line("last line of h1: %s", last.c_str());
     record.line("ended by itself: %d, ready: %d, served: %d", ends, serves, served);
     std::printf("ended by itself: %d, ready: %d, served: %d\n", ends, serves, served);
-    std::fflush(stdout);
-    hosts.clear();
-    std::_Exit(ends > 0 && !serves ? 1 : serves && served ? 0 : 2);
+    endCase(ends > 0 && !serves ? 1 : serves && served ? 0 : 2);
 }
--- a/review/7/priority.cpp
+++ b/review/7/priority.cpp
@@ -28,6 +28,7 @@
     const std::string work = argc > 2 ? argv[2] : "/tmp";
     const char *trouble = std::getenv("TROUBLE");
     const bool isLarge = trouble == nullptr || std::string(trouble) != "0";
+    endProcessesOnSignal();
     nowMs();
     Record record(folder + "/record.txt");
     Store store;
@@ -41,12 +42,12 @@
             store.port(), group.promotionPort(), work}));
     for (const auto &host : hosts)
         if (!host->start())
-            return 2;
+            endCase(2);
     for (const auto &host : hosts) {
         const double until = nowMs() + 15000;
         while (!host->isReady()) {
             if (nowMs() > until)
-                return 2;
+                endCase(2);
             sleepMs(50);
         }
     }
@@ -91,7 +92,5 @@
     }
     record.line("refused as unknown after the bound: %d, served: %d", refused, served);
     std::printf("refused as unknown after the bound: %d, served: %d\n", refused, served);
-    std::fflush(stdout);
-    hosts.clear();
-    std::_Exit(refused > 0 ? 1 : served > 0 ? 0 : 2);
+    endCase(refused > 0 ? 1 : served > 0 ? 0 : 2);
 }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -21,6 +21,7 @@
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <csignal>
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
@@ -937,6 +938,35 @@
     return text;
 }
 
+// Ids of the processes that run, for endProcesses().
+constexpr std::size_t maxProcesses = 16;
+inline std::atomic<pid_t> processes[maxProcesses];
+
+// Kills all processes that were started. May be called from a signal handler.
+inline void endProcesses()
+{
+    for (auto &process : processes)
+        if (process > 0)
+            ::kill(process, SIGKILL);
+}
+
+// Ends the case with the status, and all processes with it.
+[[noreturn]] inline void endCase(int status)
+{
+    endProcesses();
+    std::fflush(stdout);
+    std::_Exit(status);
+}
+
+// When the case runs for too long, its processes end with it.
+inline void endProcessesOnSignal()
+{
+    std::signal(SIGTERM, [](int) {
+        endProcesses();
+        std::_Exit(2);
+    });
+}
+
 // A process of the system on a loopback address of its own.
 class Host
 {
@@ -1008,6 +1038,11 @@
         ::posix_spawn_file_actions_destroy(&actions);
         if (failed != 0)
             process_ = 0;
+        for (auto &process : processes) {
+            pid_t none = 0;
+            if (process_ > 0 && process.compare_exchange_strong(none, process_))
+                break;
+        }
         return failed == 0;
     }
 
@@ -1023,14 +1058,14 @@
             return;
         ::kill(process_, SIGKILL);
         ::waitpid(process_, nullptr, 0);
-        process_ = 0;
+        forget();
     }
 
     // Whether the process has ended by itself.
     bool hasEnded()
     {
         if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_)
-            process_ = 0;
+            forget();
         return process_ == 0;
     }
 
@@ -1061,6 +1096,15 @@
     const std::string &name() const { return options_.name; }
 
 private:
+    void forget()
+    {
+        for (auto &process : processes) {
+            pid_t ended = process_;
+            process.compare_exchange_strong(ended, 0);
+        }
+        process_ = 0;
+    }
+
     const Options options_;
     std::string file_;
     int callerPort_ = 0;
